--- /dev/null
+++ b/proxy/src/config.rs
@@ -0,0 +1,89 @@
+//! What an edge proxy is told: one JSON document, decoded once into the values that the program uses.
+
+use crate::journal::Feed;
+use foldmux_settings::{Decoded, Facts};
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+#[derive(Deserialize)]
+struct Document {
+    #[serde(default)]
+    name: String,
+    listen: SocketAddr,
+    #[serde(default)]
+    seed: String,
+    limits: Limits,
+    journal: Option<SocketAddr>,
+    #[serde(default)]
+    known: Feed,
+    settings: Facts,
+}
+
+#[derive(Deserialize)]
+struct Limits {
+    memory_mb: usize,
+    sockets: usize,
+}
+
+/// Every bound of the program, from the limits on descriptors and memory.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Client connections of the platform's front: the third of the descriptors that clients may hold.
+    pub clients: usize,
+    /// Open requests: each has a thread, a buffer and at most one socket.
+    pub open: usize,
+    /// Idle connections to pop caches.
+    pub idle: usize,
+    pub buffers: usize,
+    /// TCP and TLS connections of the DNS front.
+    pub dns: usize,
+}
+
+impl Bounds {
+    fn new(limits: &Limits) -> Bounds {
+        let sockets = limits.sockets;
+        // Buffers may take half of the memory; each request needs one, and writes one more.
+        let buffers = (limits.memory_mb * 1024 * 1024 / 2 / crate::core::buffers::SIZE).max(4);
+        Bounds {
+            clients: (sockets / 3).max(1),
+            open: (sockets * 5 / 16).min(buffers * 7 / 8).max(1),
+            idle: (sockets / 6).max(1),
+            buffers,
+            dns: (sockets / 16).max(1),
+        }
+    }
+}
+
+pub struct Config {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub seed: u64,
+    pub journal: Option<SocketAddr>,
+    pub known: Feed,
+    pub bounds: Bounds,
+    pub decoded: Decoded,
+}
+
+/// The configuration, or one plain line on what is wrong with it.
+pub fn parse(mut bytes: Vec<u8>) -> Result<Config, String> {
+    let document: Document =
+        simd_json::serde::from_slice(&mut bytes).map_err(|e| format!("configuration: {e}"))?;
+    let decoded = document.settings.decode().map_err(|e| format!("configuration: {e}"))?;
+    if document.limits.sockets < 64 || document.limits.memory_mb < 16 {
+        return Err("configuration: limits are under 64 sockets or 16 MB: too few to serve".to_string());
+    }
+    let seed = match document.seed.as_str() {
+        "" => 0,
+        text => u64::from_str_radix(text, 16)
+            .map_err(|_| format!("configuration: seed {text:?} is not hexadecimal"))?,
+    };
+    Ok(Config {
+        name: document.name,
+        listen: document.listen,
+        seed,
+        journal: document.journal,
+        known: document.known,
+        bounds: Bounds::new(&document.limits),
+        decoded,
+    })
+}
--- /dev/null
+++ b/proxy/src/core/desk.rs
@@ -0,0 +1,220 @@
+//! The desk: one thread that owns the module, its timers and the table of open requests. It is fed by one
+//! bounded channel and hands each action to the request that it is for; it never waits for anything else.
+
+use super::members::{Listed, Members, Start};
+use super::request::Slot;
+use crate::clock::{span, Clock};
+use crate::upstream::pool::Pool;
+use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
+use foldmux::interface::*;
+use foldmux::Router;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Messages that wait for the desk; senders wait beyond that, the desk for none of them.
+const QUEUE: usize = 4096;
+/// Orders that wait for a request: the module has one attempt out and one final answer.
+pub const ORDERS: usize = 8;
+
+/// What the desk is told.
+pub enum Notice {
+    Ask {
+        ask: Ask,
+        slot: Arc<Slot>,
+        orders: Sender<Order>,
+    },
+    Outcome(Report),
+    /// The client left.
+    Left(RequestId),
+    /// The request's function has ended.
+    Ended(RequestId),
+    Members {
+        full: bool,
+        listed: Vec<Listed>,
+    },
+    Purged {
+        object: Option<ObjectId>,
+        group: u32,
+        ago: Time,
+    },
+}
+
+/// What a request is told.
+#[derive(Debug)]
+pub enum Order {
+    Fetch(Fetch, Target),
+    Refuse {
+        wait: Time,
+    },
+    Fail,
+    /// The client left: nothing is owed.
+    Over,
+}
+
+/// The starts of the cache and of the source that the module had in mind.
+#[derive(Clone, Copy, Debug)]
+pub struct Target {
+    pub cache: Option<Start>,
+    pub source: Option<Start>,
+    pub attempt: u8,
+    pub decided: Instant,
+}
+
+#[derive(Clone)]
+pub struct DeskHandle(Sender<Notice>);
+
+impl DeskHandle {
+    /// The desk ends only with the process; a notice to a desk that is gone has no meaning any more.
+    pub fn tell(&self, notice: Notice) {
+        let _ = self.0.send(notice);
+    }
+}
+
+pub struct Open {
+    slot: Arc<Slot>,
+    orders: Sender<Order>,
+    attempts: u8,
+}
+
+pub struct Desk {
+    router: Router,
+    clock: Clock,
+    notices: Receiver<Notice>,
+    members: Arc<Members>,
+    pool: Arc<Pool>,
+    /// Called with the former lines of members whose start takes no more work.
+    ended: Vec<Box<dyn Fn(&Listed) + Send>>,
+    open: HashMap<RequestId, Open>,
+    timers: BinaryHeap<Reverse<(Time, u32)>>,
+    actions: Vec<Action>,
+}
+
+impl Desk {
+    pub fn new(router: Router, clock: Clock, members: Arc<Members>, pool: Arc<Pool>) -> (Desk, DeskHandle) {
+        let (sender, notices) = bounded(QUEUE);
+        let desk = Desk {
+            router,
+            clock,
+            notices,
+            members,
+            pool,
+            ended: Vec::new(),
+            open: HashMap::new(),
+            timers: BinaryHeap::new(),
+            actions: Vec::new(),
+        };
+        (desk, DeskHandle(sender))
+    }
+
+    /// Tells of members that drain, go or start anew.
+    pub fn when_ended(&mut self, hook: impl Fn(&Listed) + Send + 'static) {
+        self.ended.push(Box::new(hook));
+    }
+
+    /// Runs until every handle is gone.
+    pub fn run(mut self) {
+        loop {
+            let wait = self.timers.peek().map_or(Duration::from_secs(60), |Reverse((due, _))| {
+                span(due.saturating_sub(self.clock.now()))
+            });
+            match self.notices.recv_timeout(wait) {
+                Ok(notice) => self.take(notice),
+                Err(RecvTimeoutError::Timeout) => {}
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            self.fire();
+        }
+    }
+
+    fn fire(&mut self) {
+        let now = self.clock.now();
+        while let Some(&Reverse((due, token))) = self.timers.peek() {
+            if due > now {
+                return;
+            }
+            self.timers.pop();
+            self.handle(Event::Timer { token });
+        }
+    }
+
+    pub fn take(&mut self, notice: Notice) {
+        match notice {
+            Notice::Ask { ask, slot, orders } => {
+                if slot.left() {
+                    // Guards against a client that left before its ask came here: no one would end it.
+                    let _ = orders.try_send(Order::Over);
+                    return;
+                }
+                self.open.insert(ask.id, Open { slot, orders, attempts: 0 });
+                self.handle(Event::Request(ask));
+            }
+            Notice::Outcome(report) => self.handle(Event::Outcome(report)),
+            Notice::Left(id) => {
+                if let Some(open) = self.open.get(&id) {
+                    let _ = open.orders.try_send(Order::Over);
+                    self.handle(Event::ClientGone { id });
+                }
+            }
+            Notice::Ended(id) => {
+                // The module hears of an end that it did not bring about; of any other it knows.
+                if self.open.remove(&id).is_some() {
+                    self.handle(Event::ClientGone { id });
+                }
+            }
+            Notice::Members { full, listed } => {
+                let members = listed.iter().map(|l| l.member.clone()).collect();
+                for former in self.members.apply(full, listed) {
+                    self.pool.discard(former.member.cache);
+                    self.ended.iter().for_each(|hook| hook(&former));
+                }
+                self.handle(Event::Members { full, members });
+            }
+            Notice::Purged { object, group, ago } => self.handle(Event::Purged { object, group, ago }),
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.clock.now();
+        let mut actions = std::mem::take(&mut self.actions);
+        self.router.handle(now, event, &mut actions);
+        for action in actions.drain(..) {
+            self.carry_out(now, action);
+        }
+        self.actions = actions;
+    }
+
+    fn carry_out(&mut self, now: Time, action: Action) {
+        let start = |cache| self.members.get(cache).map(|m| m.start());
+        match action {
+            Action::Fetch(fetch) => {
+                let Some(open) = self.open.get_mut(&fetch.id) else { return };
+                let target = Target {
+                    cache: start(fetch.cache),
+                    source: start(fetch.source),
+                    attempt: open.attempts,
+                    decided: Instant::now(),
+                };
+                open.attempts += 1;
+                let _ = open.orders.try_send(Order::Fetch(fetch, target));
+            }
+            Action::Refuse { id, retry_after } => self.order(id, Order::Refuse { wait: retry_after }),
+            Action::Fail { id } => self.order(id, Order::Fail),
+            Action::Cancel { id, attempt } => {
+                if let Some(open) = self.open.get(&id) {
+                    open.slot.call_off(attempt);
+                }
+            }
+            Action::Timer { after, token } => self.timers.push(Reverse((now + after, token))),
+            // No probes, no peers, and the list is pushed: the settings of this platform allow none of them.
+            Action::Probe { .. } | Action::TellPeers { .. } | Action::Watch => {}
+        }
+    }
+
+    fn order(&mut self, id: RequestId, order: Order) {
+        if let Some(open) = self.open.get(&id) {
+            let _ = open.orders.try_send(order);
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/core/members.rs
@@ -0,0 +1,106 @@
+//! The pop caches, parents and the origin as the journal last told of them: names, addresses and what may be
+//! sent to. The desk alone writes; everything else reads.
+
+use foldmux::interface::{CacheId, Member, State, Time};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, PoisonError, RwLock};
+
+/// One line of the list, with what the module has no use for.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub member: Member,
+    pub name: Arc<str>,
+    pub address: SocketAddr,
+}
+
+/// One start of a member at one address: attempts and idle connections hold for it alone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Start {
+    pub boot: Time,
+    pub address: SocketAddr,
+}
+
+impl Listed {
+    pub fn start(&self) -> Start {
+        Start { boot: self.member.boot, address: self.address }
+    }
+}
+
+#[derive(Default)]
+pub struct Members {
+    by_id: RwLock<HashMap<CacheId, Listed>>,
+}
+
+impl Members {
+    pub fn get(&self, cache: CacheId) -> Option<Listed> {
+        self.by_id.read().unwrap_or_else(PoisonError::into_inner).get(&cache).cloned()
+    }
+
+    /// Whether new work may still go to this start of the member, or name it as a source.
+    /// Guards against a drain, an end or a restart that was told of while an attempt was dialling.
+    pub fn allows(&self, cache: CacheId, start: Start) -> bool {
+        let members = self.by_id.read().unwrap_or_else(PoisonError::into_inner);
+        members.get(&cache).is_some_and(|m| m.member.state == State::Ready && m.start() == start)
+    }
+
+    /// Takes a list and returns those whose former start takes no more work, whatever the reason.
+    pub fn apply(&self, full: bool, listed: Vec<Listed>) -> Vec<Listed> {
+        let mut members = self.by_id.write().unwrap_or_else(PoisonError::into_inner);
+        let mut ended = Vec::new();
+        if full {
+            let named: Vec<CacheId> = listed.iter().map(|l| l.member.cache).collect();
+            let gone: Vec<CacheId> = members.keys().filter(|c| !named.contains(c)).copied().collect();
+            ended.extend(gone.into_iter().filter_map(|cache| members.remove(&cache)));
+        }
+        for new in listed {
+            let (cache, state, start) = (new.member.cache, new.member.state, new.start());
+            let former = match state {
+                State::Gone => members.remove(&cache),
+                _ => members.insert(cache, new),
+            };
+            let over = |f: &Listed| f.start() != start || state != State::Ready;
+            ended.extend(former.filter(|f| f.member.state == State::Ready && over(f)));
+        }
+        ended
+    }
+}
+
+/// The id of a member: the eight hex digits at the end of its name, as the platform gives them, else a hash
+/// of the name. Every proxy finds the same id, so that all place an object alike.
+pub fn cache_id(name: &str) -> CacheId {
+    let tail = name.rsplit('-').next().unwrap_or(name);
+    let hex = (tail.len() == 8).then(|| u32::from_str_radix(tail, 16).ok()).flatten();
+    let hash = || name.bytes().fold(0x811c_9dc5_u32, |h, b| (h ^ b as u32).wrapping_mul(0x0100_0193));
+    CacheId(hex.unwrap_or_else(hash))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn listed(state: State, boot: Time, port: u16) -> Listed {
+        let member = Member { cache: CacheId(1), state, boot, ..Member::default() };
+        Listed { member, name: "s-00000001".into(), address: SocketAddr::from(([127, 0, 0, 1], port)) }
+    }
+
+    #[test]
+    fn a_start_is_allowed_until_it_drains_goes_restarts_or_moves() {
+        for next in [
+            vec![listed(State::Draining, 5, 80)],
+            vec![listed(State::Gone, 5, 80)],
+            vec![listed(State::Ready, 6, 80)],
+            vec![listed(State::Ready, 5, 81)],
+            vec![],
+        ] {
+            let members = Members::default();
+            assert!(members.apply(true, vec![listed(State::Ready, 5, 80)]).is_empty());
+            let start = members.get(CacheId(1)).unwrap().start();
+            assert!(members.allows(CacheId(1), start));
+            assert_eq!(members.apply(true, next).len(), 1);
+            assert!(!members.allows(CacheId(1), start));
+        }
+        assert_eq!(cache_id("s-00c41f7a"), CacheId(0x00c4_1f7a));
+        assert_ne!(cache_id("cache-a"), cache_id("cache-b"));
+    }
+}
--- /dev/null
+++ b/proxy/src/core/request.rs
@@ -0,0 +1,267 @@
+//! The life of one request, from its ask to its one answer, in one function on a thread of its own.
+
+use super::buffers::{Buffers, Lease};
+use super::desk::{DeskHandle, Notice, Order, ORDERS};
+use super::members::Members;
+use crate::clock::{span, Clock};
+use crate::upstream::{Attempt, Got, Upstream};
+use crossbeam_channel::{bounded, Receiver, Sender};
+use foldmux::interface::*;
+use std::net::{Shutdown, TcpStream};
+use std::ops::Range;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::Instant;
+
+/// Stack of a request's thread: its bytes are in pooled buffers.
+const STACK: usize = 128 * 1024;
+/// Beyond the client's deadline a request without orders answers by itself (us): the module's own look at
+/// what is overdue comes first.
+const UNORDERED: Time = 30_000;
+
+/// A request as a front read it. What is passed on unchanged is kept as text.
+pub struct Inquiry {
+    pub via: String,
+    pub class: usize,
+    pub class_name: Arc<str>,
+    pub object: u64,
+    pub object_text: String,
+    pub part: u32,
+    pub group: u32,
+    pub size_kb: f64,
+    pub token: Option<String>,
+    pub got: Option<String>,
+    pub body: Option<(Lease, usize)>,
+    pub arrived: Instant,
+    /// How long until the client gives this up, from `arrived`.
+    pub budget: Time,
+}
+
+/// The bytes of a part, whole, in the buffer that they were read into.
+pub struct Served {
+    pub bytes: Lease,
+    pub body: Range<usize>,
+}
+
+pub enum Answer {
+    Served(Served),
+    /// The copy that the client holds is the one.
+    Same,
+    Shed {
+        wait: Time,
+    },
+    Failed,
+}
+
+/// Where a front takes an answer. Dropped without one, it tells its client that the request failed.
+pub trait Reply: Send {
+    fn answer(self: Box<Self>, answer: Answer);
+}
+
+/// What others may do to a request while it runs: call its attempt off, or take its client away.
+pub struct Slot {
+    pub id: RequestId,
+    state: Mutex<SlotState>,
+}
+
+#[derive(Default)]
+struct SlotState {
+    left: bool,
+    called_off: Option<u8>,
+    socket: Option<(u8, Arc<TcpStream>)>,
+}
+
+impl Slot {
+    pub fn new(id: RequestId) -> Arc<Slot> {
+        Arc::new(Slot { id, state: Mutex::default() })
+    }
+
+    fn state(&self) -> std::sync::MutexGuard<'_, SlotState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn left(&self) -> bool {
+        self.state().left
+    }
+
+    /// Whether this attempt was called off, or its client left.
+    pub fn off(&self, attempt: u8) -> bool {
+        let state = self.state();
+        state.left || state.called_off.is_some_and(|a| a >= attempt)
+    }
+
+    /// Puts an attempt's socket where a cancel finds it; false if the cancel came first.
+    pub fn hold(&self, attempt: u8, socket: &Arc<TcpStream>) -> bool {
+        let mut state = self.state();
+        if state.left || state.called_off.is_some_and(|a| a >= attempt) {
+            return false;
+        }
+        state.socket = Some((attempt, socket.clone()));
+        true
+    }
+
+    pub fn release(&self) {
+        self.state().socket = None;
+    }
+
+    /// Closing the connection gives up the request: the thread that reads from it wakes at once.
+    pub fn call_off(&self, attempt: u8) {
+        let mut state = self.state();
+        state.called_off = state.called_off.max(Some(attempt));
+        if let Some((_, socket)) = state.socket.take_if(|s| s.0 <= attempt) {
+            let _ = socket.shutdown(Shutdown::Both);
+        }
+    }
+
+    fn leave(&self) {
+        let mut state = self.state();
+        state.left = true;
+        if let Some((_, socket)) = state.socket.take() {
+            let _ = socket.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+struct Job {
+    inquiry: Inquiry,
+    slot: Arc<Slot>,
+    reply: Box<dyn Reply>,
+}
+
+/// Takes requests from all fronts, up to a bound, each on a thread that is used again.
+pub struct Core {
+    pub clock: Clock,
+    pub desk: DeskHandle,
+    pub buffers: Arc<Buffers>,
+    pub members: Arc<Members>,
+    pub upstream: Upstream,
+    /// Advised with a refusal of the core's own.
+    pub shed_wait: Time,
+    most: usize,
+    open: AtomicUsize,
+    threads: AtomicUsize,
+    serial: AtomicU64,
+    jobs: (Sender<Job>, Receiver<Job>),
+}
+
+impl Core {
+    pub fn new(
+        clock: Clock,
+        desk: DeskHandle,
+        buffers: Arc<Buffers>,
+        members: Arc<Members>,
+        upstream: Upstream,
+        shed_wait: Time,
+        most: usize,
+    ) -> Arc<Core> {
+        let zero = AtomicUsize::default;
+        let (open, threads, serial, jobs) = (zero(), zero(), AtomicU64::new(1), bounded(most.max(1)));
+        Arc::new(Core {
+            clock,
+            desk,
+            buffers,
+            members,
+            upstream,
+            shed_wait,
+            most,
+            open,
+            threads,
+            serial,
+            jobs,
+        })
+    }
+
+    pub fn slot(&self) -> Arc<Slot> {
+        Slot::new(RequestId(self.serial.fetch_add(1, Ordering::Relaxed)))
+    }
+
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
+    }
+
+    /// Starts a request, or sheds it at once where the program is full.
+    pub fn start(self: &Arc<Core>, inquiry: Inquiry, slot: Arc<Slot>, reply: Box<dyn Reply>) {
+        let open = self.open.fetch_add(1, Ordering::SeqCst) + 1;
+        let room = open <= self.most && (self.threads.load(Ordering::SeqCst) >= open || self.spawn());
+        if room {
+            let _ = self.jobs.0.send(Job { inquiry, slot, reply });
+            // The channel holds as many jobs as may be open, so this never waited.
+            return;
+        }
+        self.open.fetch_sub(1, Ordering::SeqCst);
+        reply.answer(Answer::Shed { wait: self.shed_wait });
+    }
+
+    /// One more thread, where the machine gives it; those that there are serve on.
+    fn spawn(self: &Arc<Core>) -> bool {
+        let core = self.clone();
+        let thread = thread::Builder::new().name("request".into()).stack_size(STACK);
+        let spawned = thread.spawn(move || {
+            for job in core.jobs.1.clone() {
+                let Job { inquiry, slot, reply } = job;
+                // Guards against a fault in one request ending the thread, and with it others' turns.
+                let _ = catch_unwind(AssertUnwindSafe(|| serve(&core, inquiry, &slot, reply)));
+                core.open.fetch_sub(1, Ordering::SeqCst);
+            }
+        });
+        self.threads.fetch_add(spawned.is_ok() as usize, Ordering::SeqCst);
+        spawned.is_ok()
+    }
+
+    /// The client left: the module hears, and the attempt's socket is shut.
+    pub fn leave(&self, slot: &Slot) {
+        slot.leave();
+        self.desk.tell(Notice::Left(slot.id));
+    }
+}
+
+/// The end of a request at the desk, however its function ends.
+struct Ended<'a>(&'a Core, RequestId);
+
+impl Drop for Ended<'_> {
+    fn drop(&mut self) {
+        self.0.desk.tell(Notice::Ended(self.1));
+    }
+}
+
+/// The one place where a request lives: asked, attempted, reported, repeated, answered.
+fn serve(core: &Core, inquiry: Inquiry, slot: &Arc<Slot>, reply: Box<dyn Reply>) {
+    let Some(mut bytes) = core.buffers.lease() else {
+        return reply.answer(Answer::Shed { wait: core.shed_wait });
+    };
+    let (sender, orders) = bounded(ORDERS);
+    let _ended = Ended(core, slot.id);
+    let deadline = inquiry.arrived + span(inquiry.budget);
+    let ask = Ask {
+        id: slot.id,
+        class: inquiry.class,
+        object: ObjectId(inquiry.object),
+        part: inquiry.part,
+        group: inquiry.group,
+        size_kb: inquiry.size_kb,
+        budget: deadline.saturating_duration_since(Instant::now()).as_micros() as Time,
+    };
+    core.desk.tell(Notice::Ask { ask, slot: slot.clone(), orders: sender });
+    loop {
+        match orders.recv_deadline(deadline + span(UNORDERED)) {
+            Ok(Order::Fetch(fetch, target)) => {
+                let attempt = Attempt { inquiry: &inquiry, slot, fetch: &fetch, target: &target, deadline };
+                let (outcome, got) = core.upstream.attempt(&attempt, &mut bytes);
+                let elapsed = target.decided.elapsed().as_micros() as Time;
+                let last = got.is_some() || slot.left();
+                let (id, attempt, note) = (slot.id, target.attempt, Note::Untold);
+                core.desk.tell(Notice::Outcome(Report { id, attempt, outcome, note, elapsed, last }));
+                match got {
+                    Some(Got::Body(body)) => return reply.answer(Answer::Served(Served { bytes, body })),
+                    Some(Got::Same) => return reply.answer(Answer::Same),
+                    None => {}
+                }
+            }
+            Ok(Order::Refuse { wait }) => return reply.answer(Answer::Shed { wait }),
+            Ok(Order::Over) => return,
+            Ok(Order::Fail) | Err(_) => return reply.answer(Answer::Failed),
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/fronts/mod.rs
@@ -0,0 +1,3 @@
+//! What clients speak. A front turns bytes into asks and answers into bytes, and decides nothing.
+
+pub mod msgpack;
--- /dev/null
+++ b/proxy/src/main.rs
@@ -0,0 +1,81 @@
+//! The command line of the edge proxy.
+
+use foldmux_proxy::{config, server};
+use lexopt::{Arg, Parser, ValueExt};
+use std::process::ExitCode;
+
+const USAGE: &str = "\
+foldmux, an edge proxy in front of pop caches
+
+  foldmux serve [--config FILE]          run in the foreground until SIGTERM
+  foldmux check-config [--config FILE]   read the configuration and say what it holds
+  foldmux version
+  foldmux help
+
+The configuration is FILE, else the file that GW_CONFIG names. GW_NAME and GW_LISTEN override it.";
+
+enum Command {
+    Serve,
+    Check,
+    Version,
+    Help,
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("foldmux: {}", message.replace('\n', " "));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<(), String> {
+    let mut parser = Parser::from_env();
+    let (mut command, mut file) = (None, None);
+    while let Some(arg) = parser.next().map_err(|e| e.to_string())? {
+        match arg {
+            Arg::Value(word) if command.is_none() => {
+                command = Some(match word.to_string_lossy().as_ref() {
+                    "serve" => Command::Serve,
+                    "check-config" => Command::Check,
+                    "version" => Command::Version,
+                    "help" => Command::Help,
+                    other => return Err(format!("no command {other:?}; see foldmux help")),
+                });
+            }
+            Arg::Long("config") => file = Some(parser.value().map_err(|e| e.to_string())?),
+            Arg::Long("help") | Arg::Short('h') => command = Some(Command::Help),
+            Arg::Long("version") | Arg::Short('V') => command = Some(Command::Version),
+            other => return Err(other.unexpected().to_string()),
+        }
+    }
+    match command.ok_or("no command; see foldmux help")? {
+        Command::Help => println!("{USAGE}"),
+        Command::Version => println!("foldmux {}", env!("CARGO_PKG_VERSION")),
+        Command::Check => {
+            let config = read(file)?;
+            let (classes, bounds) = (config.decoded.classes.join(", "), config.bounds);
+            println!("{} on {}: classes {classes}", config.name, config.listen);
+            println!("{bounds:?}, {} events known", config.known.entries.len());
+        }
+        Command::Serve => server::run(read(file)?)?,
+    }
+    Ok(())
+}
+
+fn read(file: Option<std::ffi::OsString>) -> Result<config::Config, String> {
+    let file = file.or_else(|| std::env::var_os("GW_CONFIG")).ok_or("no configuration: set GW_CONFIG")?;
+    let file = std::path::PathBuf::from(file);
+    let bytes = std::fs::read(&file).map_err(|e| format!("{}: {e}", file.display()))?;
+    let mut config = config::parse(bytes)?;
+    if let Some(listen) = std::env::var_os("GW_LISTEN") {
+        let listen: String = listen.string().map_err(|e| e.to_string())?;
+        config.listen = listen.parse().map_err(|_| format!("GW_LISTEN {listen:?} is no address"))?;
+    }
+    if let Ok(name) = std::env::var("GW_NAME") {
+        config.name = name;
+    }
+    Ok(config)
+}
--- /dev/null
+++ b/proxy/src/server.rs
@@ -0,0 +1,159 @@
+//! Puts the parts together and runs them: the desk, the core, the journal, the fronts, and the end.
+
+use crate::clock::span;
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::core::buffers::Buffers;
+use crate::core::members::Members;
+use crate::core::{Core, Desk};
+use crate::fronts::msgpack::Front;
+use crate::journal::{Journal, Names};
+use crate::upstream::{pool::Pool, Upstream};
+use foldmux::interface::Time;
+use foldmux::Router;
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use std::io;
+use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Stack of a thread that reads a connection.
+pub const READER_STACK: usize = 96 * 1024;
+/// Served on after SIGTERM: new connections arrive for 0.4 s, requests on them for 0.2 s more.
+const SERVE_ON: Duration = Duration::from_millis(800);
+/// Between the last answer and the exit: it has left, and its client reads it.
+const LINGER: Duration = Duration::from_millis(50);
+/// Longest wait for what is open after that: SIGKILL follows.
+const LONGEST: Duration = Duration::from_secs(6);
+/// Advised with a refusal of the core's own (us), where clients follow as much.
+const SHED_WAIT: Time = 300_000;
+
+/// Runs until a signal ends it; an error is one plain line.
+pub fn run(config: Config) -> Result<(), String> {
+    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| format!("signals: {e}"))?;
+    let bounds = config.bounds;
+    let decoded = config.decoded;
+    let clock = Clock::default();
+    let members = Arc::new(Members::default());
+    let pool = Pool::new(bounds.idle, span(decoded.keep_alive));
+    let shed_wait = decoded.settings.retry_after.map_or(0, |longest| SHED_WAIT.min(longest));
+    let router = Router::new(decoded.settings, config.seed);
+    let (desk, handle) = Desk::new(router, clock.clone(), members.clone(), pool.clone());
+    let upstream = Upstream {
+        members: members.clone(),
+        pool: pool.clone(),
+        clock: clock.clone(),
+        dial_time_out: span(decoded.dial_time_out),
+    };
+    let buffers = Buffers::new(bounds.buffers);
+    let core = Core::new(clock.clone(), handle.clone(), buffers, members, upstream, shed_wait, bounds.open);
+    let desk = named("desk", 512 * 1024, move || desk.run())?;
+
+    let listed = Arc::new(AtomicBool::new(false));
+    let names = Names { zones: decoded.zones, kinds: decoded.kinds };
+    let mut journal = Journal::new(names, clock, handle, pool, listed.clone());
+    // What is known at the start comes before anything else.
+    if !journal.take(&config.known) {
+        return Err("configuration: known has a gap in its events".to_string());
+    }
+    match config.journal {
+        Some(service) => drop(named("journal", 512 * 1024, move || journal.follow(service))?),
+        None => eprintln!("no journal service: the list stays as configured"),
+    }
+
+    let listener =
+        TcpListener::bind(config.listen).map_err(|e| format!("listening on {}: {e}", config.listen))?;
+    let leaving = Arc::new(AtomicBool::new(false));
+    let classes = decoded.classes.iter().map(|c| c.as_str().into()).collect();
+    let front = Arc::new(Front { core: core.clone(), classes, listed, leaving: leaving.clone() });
+    let serve = move |stream| front.serve(stream);
+    named("accept", READER_STACK, move || accept(&listener, bounds.clients, Arc::new(serve)))?;
+    eprintln!("{} serves on {}", config.name, config.listen);
+
+    // The desk ends only by a fault: then nothing can be decided any more, and the platform must see it.
+    named("watch", READER_STACK, move || {
+        let _ = desk.join();
+        eprintln!("the desk ended: no decisions can be made");
+        std::process::exit(3);
+    })?;
+    signals.forever().next();
+    leave(&core, &leaving);
+    Ok(())
+}
+
+/// Serves on for a while, answers what was taken, and returns.
+fn leave(core: &Core, leaving: &AtomicBool) {
+    leaving.store(true, Ordering::SeqCst);
+    let told = Instant::now();
+    thread::sleep(SERVE_ON);
+    while core.open() > 0 && told.elapsed() < LONGEST {
+        thread::sleep(Duration::from_millis(5));
+    }
+    thread::sleep(LINGER);
+    eprintln!("left {:?} after the signal, {} open", told.elapsed(), core.open());
+}
+
+pub fn named(
+    name: &str,
+    stack: usize,
+    body: impl FnOnce() + Send + 'static,
+) -> Result<thread::JoinHandle<()>, String> {
+    let thread = thread::Builder::new().name(name.to_string()).stack_size(stack);
+    thread.spawn(body).map_err(|e| format!("thread {name}: {e}"))
+}
+
+/// Takes connections, each to a thread of its own, up to a bound; those beyond it are closed at once.
+pub fn accept(listener: &TcpListener, most: usize, serve: Arc<dyn Fn(TcpStream) + Send + Sync>) {
+    let held = Arc::new(AtomicUsize::new(0));
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                if held.fetch_add(1, Ordering::SeqCst) >= most {
+                    held.fetch_sub(1, Ordering::SeqCst);
+                    continue;
+                }
+                let (held_too, serve) = (Held(held.clone()), serve.clone());
+                let spawned = named("connection", READER_STACK, move || {
+                    let _held = held_too;
+                    serve(stream);
+                });
+                spawned.err().iter().for_each(|e| eprintln!("{e}"));
+            }
+            Err(e) => thread::sleep(pause(&e)),
+        }
+    }
+}
+
+/// One connection's place, given back however its thread ends, also where it never started.
+struct Held(Arc<AtomicUsize>);
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// How long to leave the listener alone after an error. A connection that ended while it waited is no reason
+/// to wait. Guards against spinning where there are no descriptors: the error stays until one is given back.
+fn pause(error: &io::Error) -> Duration {
+    match error.kind() {
+        io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted => Duration::ZERO,
+        _ => Duration::from_millis(20),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn accept_errors_neither_spin_nor_end_the_program() {
+        for code in [23, 24, 105, 12] {
+            assert!(!pause(&io::Error::from_raw_os_error(code)).is_zero(), "error {code}");
+        }
+        assert!(pause(&io::Error::from(io::ErrorKind::ConnectionAborted)).is_zero());
+    }
+}
--- /dev/null
+++ b/proxy/src/upstream/mod.rs
@@ -0,0 +1,225 @@
+//! One attempt at a pop cache, a parent or the origin, over HTTP/1.1 with one request at a time.
+
+pub mod pool;
+
+use crate::clock::{span, Clock};
+use crate::core::desk::Target;
+use crate::core::members::{Listed, Members, Start};
+use crate::core::request::{Inquiry, Slot};
+use crate::http::{read_response, Broken, Response};
+use foldmux::interface::{Fetch, Outcome, Time};
+use pool::Pool;
+use std::fmt::Write as _;
+use std::io::{ErrorKind, Write};
+use std::net::TcpStream;
+use std::ops::Range;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+pub struct Upstream {
+    pub members: Arc<Members>,
+    pub pool: Arc<Pool>,
+    pub clock: Clock,
+    pub dial_time_out: Duration,
+}
+
+pub struct Attempt<'a> {
+    pub inquiry: &'a Inquiry,
+    pub slot: &'a Slot,
+    pub fetch: &'a Fetch,
+    pub target: &'a Target,
+    /// When the client gives up.
+    pub deadline: Instant,
+}
+
+/// What an answer brought: the bytes, by their place in the buffer, or word that the client has them.
+#[derive(Debug, PartialEq)]
+pub enum Got {
+    Body(Range<usize>),
+    Same,
+}
+
+impl Upstream {
+    /// Makes the attempt and says how it ended; whatever it held is given back when this returns.
+    pub fn attempt(&self, attempt: &Attempt, buffer: &mut [u8]) -> (Outcome, Option<Got>) {
+        let (outcome, got) = self.make(attempt, buffer);
+        attempt.slot.release();
+        if got.is_none() && attempt.slot.off(attempt.target.attempt) {
+            // Called off: what the shut socket gave is no news of the cache.
+            return (Outcome::Cancelled, None);
+        }
+        (outcome, got)
+    }
+
+    fn make(&self, attempt: &Attempt, buffer: &mut [u8]) -> (Outcome, Option<Got>) {
+        let Attempt { inquiry, slot, fetch, target, .. } = attempt;
+        let until = match fetch.time_out {
+            0 => attempt.deadline,
+            time => attempt.deadline.min(target.decided + span(time)),
+        };
+        let (Some(cache), Some(start)) = (self.members.get(fetch.cache), target.cache) else {
+            return (Outcome::NeverSent, None);
+        };
+        let stream = match self.connect(&cache, start, until) {
+            Ok(stream) => stream,
+            Err(outcome) => return (outcome, None),
+        };
+        if !slot.hold(target.attempt, &stream) {
+            return (Outcome::Cancelled, None);
+        }
+        // Dialling took time, and the list may have changed in it: here, just before the first byte, the cache
+        // and the source must still be allowed and be the starts that the module meant, with time left.
+        let Some(head) = self.head(attempt, until) else { return (Outcome::NeverSent, None) };
+        let body = inquiry.body.as_ref().map_or(&[][..], |(lease, n)| &lease[..*n]);
+        if let Err(broken) = write_all(&stream, &[head.as_bytes(), body], until) {
+            return (outcome_of(broken), None);
+        }
+        match read_response(&stream, buffer, until) {
+            Ok(response) => {
+                if response.reusable {
+                    slot.release();
+                    self.pool.give_back(fetch.cache, start, stream);
+                }
+                judge(response, inquiry.got.is_some())
+            }
+            Err(broken) => (outcome_of(broken), None),
+        }
+    }
+
+    fn connect(&self, cache: &Listed, start: Start, until: Instant) -> Result<Arc<TcpStream>, Outcome> {
+        if let Some(stream) = self.pool.take(cache.member.cache, start) {
+            return Ok(stream);
+        }
+        let left = until.saturating_duration_since(Instant::now()).min(self.dial_time_out);
+        if left.is_zero() {
+            return Err(Outcome::NeverSent);
+        }
+        let stream = TcpStream::connect_timeout(&start.address, left).map_err(dial_outcome)?;
+        let _ = stream.set_nodelay(true);
+        Ok(Arc::new(stream))
+    }
+
+    /// The request's head, or none where it must not be sent any more.
+    fn head(&self, attempt: &Attempt, until: Instant) -> Option<String> {
+        let Attempt { inquiry, fetch, target, .. } = attempt;
+        let cache = target.cache.filter(|start| self.members.allows(fetch.cache, *start))?;
+        let mut source = None;
+        if fetch.source != fetch.cache {
+            target.source.filter(|start| self.members.allows(fetch.source, *start))?;
+            source = Some(self.members.get(fetch.source)?.name);
+        }
+        let wait = until.saturating_duration_since(Instant::now()).as_millis();
+        if wait == 0 {
+            return None;
+        }
+        let Inquiry { via, class_name, object_text, part, .. } = inquiry;
+        let method = if inquiry.body.is_some() { "POST" } else { "GET" };
+        let mut head = format!("{method} /v2/q/{class_name}/{object_text}/{part} HTTP/1.1\r\n");
+        let mut field = |name: &str, value: &dyn std::fmt::Display| {
+            let _ = write!(head, "{name}: {value}\r\n");
+        };
+        field("Host", &cache.address);
+        field("Via-Id", via);
+        field("Via-Wait", &wait);
+        inquiry.token.iter().for_each(|token| field("Via-Token", token));
+        source.iter().for_each(|source| field("X-Fill-From", source));
+        if fetch.keep > 0 {
+            field("X-Keep", &fetch.keep);
+        }
+        max_age_ms(fetch.max_age).iter().for_each(|age| field("X-Max-Age-Ms", age));
+        let flags = [(fetch.join, "coalesce"), (fetch.hold_only, "shallow"), (fetch.renew, "freshen")];
+        let flags: Vec<&str> = flags.iter().filter(|f| f.0).map(|f| f.1).collect();
+        if !flags.is_empty() {
+            field("X-Flags", &flags.join("+"));
+        }
+        inquiry.got.iter().for_each(|got| field("If-None-Match", got));
+        if let Some((_, length)) = inquiry.body {
+            field("Content-Length", &length);
+        }
+        head.push_str("\r\n");
+        Some(head)
+    }
+}
+
+/// Rounded down, as a copy must not be older than the module said; but 0 would mean no bound at all.
+fn max_age_ms(age: Time) -> Option<Time> {
+    (age > 0).then(|| (age / 1000).max(1))
+}
+
+/// What a dial that failed proves: nothing came up at the other side. Where it was this program that had no
+/// descriptor or port left, that says nothing of the cache.
+fn dial_outcome(error: std::io::Error) -> Outcome {
+    const OURS: [i32; 5] = [12, 23, 24, 99, 105]; // ENOMEM, ENFILE, EMFILE, EADDRNOTAVAIL, ENOBUFS
+    match error.raw_os_error() {
+        Some(code) if OURS.contains(&code) => Outcome::NeverSent,
+        _ => Outcome::ConnectFailed,
+    }
+}
+
+fn outcome_of(broken: Broken) -> Outcome {
+    match broken {
+        Broken::TimedOut => Outcome::TimedOut,
+        // A break after writing may have run, also on a connection that was idle before: never sent again
+        // behind the module's back.
+        Broken::Reset => Outcome::Reset,
+        Broken::Unreadable => Outcome::Error,
+    }
+}
+
+/// What an answer proves. Only a miss, and a refusal that says that it left the request untouched, never ran.
+fn judge(response: Response, passed_got: bool) -> (Outcome, Option<Got>) {
+    match (response.status, response.untouched) {
+        (200, _) => (Outcome::Served, Some(Got::Body(response.body))),
+        (304, _) if passed_got => (Outcome::Served, Some(Got::Same)),
+        (404, _) => (Outcome::Miss, None),
+        (503, true) => (Outcome::Full, None),
+        (504, true) => (Outcome::NeverSent, None),
+        _ => (Outcome::Error, None),
+    }
+}
+
+fn write_all(stream: &TcpStream, parts: &[&[u8]], until: Instant) -> Result<(), Broken> {
+    for part in parts {
+        let mut left = *part;
+        while !left.is_empty() {
+            let time = until.saturating_duration_since(Instant::now());
+            if time.is_zero() {
+                return Err(Broken::TimedOut);
+            }
+            stream.set_write_timeout(Some(time)).map_err(|_| Broken::Reset)?;
+            match (&mut &*stream).write(left) {
+                Ok(0) => return Err(Broken::Reset),
+                Ok(n) => left = &left[n..],
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+                Err(_) => return Err(Broken::Reset),
+            }
+        }
+    }
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn never_ran_is_exact() {
+        let end =
+            |status, untouched, got| judge(Response { status, body: 1..2, reusable: true, untouched }, got).0;
+        assert_eq!(end(200, false, false), Outcome::Served);
+        assert_eq!((end(304, false, true), end(304, false, false)), (Outcome::Served, Outcome::Error));
+        assert_eq!((end(404, false, false), end(500, true, false)), (Outcome::Miss, Outcome::Error));
+        assert_eq!((end(503, true, false), end(503, false, false)), (Outcome::Full, Outcome::Error));
+        assert_eq!((end(504, true, false), end(504, false, false)), (Outcome::NeverSent, Outcome::Error));
+        assert!(!outcome_of(Broken::Unreadable).never_ran() && !outcome_of(Broken::Reset).never_ran());
+        let dial = |code| dial_outcome(std::io::Error::from_raw_os_error(code));
+        assert_eq!((dial(111), dial(24)), (Outcome::ConnectFailed, Outcome::NeverSent));
+    }
+
+    #[test]
+    fn a_bound_on_age_rounds_down_but_never_to_no_bound() {
+        let rounded = [0, 1, 999, 1_000, 1_999, 2_500_000].map(max_age_ms);
+        assert_eq!(rounded, [None, Some(1), Some(1), Some(1), Some(1), Some(2_500)]);
+    }
+}
--- a/simhost/src/host.rs
+++ b/simhost/src/host.rs
@@ -1,9 +1,9 @@
 //! Many routers in one process, each fed only its own events.
 
-use crate::settings;
 use crate::wire::{decode, Incoming, Reply};
-use basaltpin::interface::{Action, Time};
-use basaltpin::Router;
+use foldmux::interface::{Action, Time};
+use foldmux::Router;
+use foldmux_settings as settings;
 use std::collections::BTreeMap;
 
 #[derive(Default)]
@@ -19,7 +19,7 @@
         for (instance, incoming) in decode(body, records).map_err(|e| e.to_string())? {
             match incoming {
                 Incoming::Start { seed, settings } => {
-                    self.routers.insert(instance, Router::new(settings::parse(&settings)?, seed));
+                    self.routers.insert(instance, Router::new(settings::parse(&settings)?.settings, seed));
                 }
                 Incoming::Stop => {
                     self.routers.remove(&instance);
--- a/simhost/src/lib.rs
+++ b/simhost/src/lib.rs
@@ -1,7 +1,6 @@
-//! Hosts basaltpin routers on the simulator's wire. It translates and decides nothing.
+//! Hosts foldmux routers on the simulator's wire. It translates and decides nothing.
 
 pub mod host;
-pub mod settings;
 pub mod wire;
 
 use std::io::{self, Read, Write};
--- a/simhost/src/main.rs
+++ b/simhost/src/main.rs
@@ -3,10 +3,10 @@
 
 fn main() -> ExitCode {
     let input = BufReader::with_capacity(1 << 20, io::stdin().lock());
-    match basaltpin_simhost::run(input, BufWriter::new(io::stdout().lock())) {
+    match foldmux_simhost::run(input, BufWriter::new(io::stdout().lock())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("basaltpin-simhost: {}", message.replace('\n', " "));
+            eprintln!("foldmux-simhost: {}", message.replace('\n', " "));
             ExitCode::FAILURE
         }
     }
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -1,6 +1,6 @@
 //! The simulator's frames: batches of events in, replies of actions out. Little-endian, no padding.
 
-use basaltpin::interface::*;
+use foldmux::interface::*;
 use std::fmt;
 
 /// What is wrong with a frame: where, and why.
--- a/simhost/tests/wire.rs
+++ b/simhost/tests/wire.rs
@@ -1,5 +1,6 @@
 //! The codec, from frames written here.
-use basaltpin_simhost::{run, settings};
+use foldmux_settings as settings;
+use foldmux_simhost::run;
 
 fn record(code: u8, fields: &[&[u8]]) -> Vec<u8> {
     let body: Vec<u8> = fields.concat();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,12 +1,12 @@
-//! basaltpin decides, for a request router in front of edge caches, which cache a request goes to
+//! foldmux decides, for a request router in front of edge caches, which cache a request goes to
 //! and what a miss there is filled from: a sibling cache, a parent or the origin.
 //!
 //! A front feeds a [`Router`] what happens, with its own clock, and carries out the actions that
 //! come back. The router does no input or output, reads no clock and starts no thread.
 //!
 //! ```
-//! use basaltpin::interface::*;
-//! use basaltpin::Router;
+//! use foldmux::interface::*;
+//! use foldmux::Router;
 //!
 //! let class = Class {
 //!     aim: 400_000, aim_stretch: 2.0, deadline: 3_000_000, worth: 1.0, late_worth: 0.2,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small front for the tests: it feeds a router and keeps what it says.
 #![allow(dead_code)]
 
-use basaltpin::interface::*;
-use basaltpin::Router;
+use foldmux::interface::*;
+use foldmux::Router;
 
 pub const MS: Time = 1_000;
 pub const SECOND: Time = 1_000_000;
--- a/tests/fleets.rs
+++ b/tests/fleets.rs
@@ -1,7 +1,7 @@
 //! Fleets of every size and shape are ordinary input.
 mod common;
-use basaltpin::interface::*;
 use common::*;
+use foldmux::interface::*;
 use std::collections::BTreeMap;
 
 /// `zones` locations of `each` caches behind two hubs, `parents` parents and an origin.
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -1,7 +1,7 @@
 //! The guards against failures that were found, each with the trouble that it answers.
 mod common;
-use basaltpin::interface::*;
 use common::*;
+use foldmux::interface::*;
 
 #[test]
 fn full_is_not_retried_and_shuns_nobody() {
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -1,7 +1,7 @@
 //! The ordinary path: summary, home cache, sibling query, parent.
 mod common;
-use basaltpin::interface::*;
 use common::*;
+use foldmux::interface::*;
 
 fn is_sibling(cache: CacheId) -> bool {
     (20..23).contains(&cache.0)
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,7 +1,7 @@
 //! The five rules, each at its edge.
 mod common;
-use basaltpin::interface::*;
 use common::*;
+use foldmux::interface::*;
 use std::collections::BTreeMap;
 
 #[test]
