Send writes as GET with a body, bound connections together, count answers in the log

Seen: every mix-record failed; the caches answer 400 to POST. Requests were shed at 320 open while 740 descriptors were free. Ruled out: the client's fields (all 30,000 calls of a proxy parsed). Lines at fault: the method in upstream/mod.rs; Bounds in config.rs.

--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -32,8 +32,8 @@
     pub clients: usize,
     /// Open requests: each has a thread, a buffer and at most one socket.
     pub open: usize,
-    /// Idle connections to pop caches.
-    pub idle: usize,
+    /// Connections to pop caches, those out and those idle together.
+    pub upstream: usize,
     pub buffers: usize,
     /// TCP and TLS connections of the DNS front.
     pub dns: usize,
@@ -42,12 +42,12 @@
 impl Bounds {
     fn new(limits: &Limits) -> Bounds {
         let sockets = limits.sockets;
-        // Buffers may take half of the memory; each request needs one, and writes one more.
-        let buffers = (limits.memory_mb * 1024 * 1024 / 2 / crate::core::buffers::SIZE).max(4);
+        // Buffers may take 7/10 of the memory; each request needs one, and writes one more.
+        let buffers = (limits.memory_mb * 1024 * 1024 * 7 / 10 / crate::core::buffers::SIZE).max(8);
         Bounds {
             clients: (sockets / 3).max(1),
-            open: (sockets * 5 / 16).min(buffers * 7 / 8).max(1),
-            idle: (sockets / 6).max(1),
+            open: (sockets / 2).min(buffers * 15 / 16).max(1),
+            upstream: (sockets * 37 / 64).max(1),
             buffers,
             dns: (sockets / 16).max(1),
         }
--- a/proxy/src/core/request.rs
+++ b/proxy/src/core/request.rs
@@ -4,6 +4,7 @@
 use super::desk::{DeskHandle, Notice, Order, ORDERS};
 use super::members::Members;
 use crate::clock::{span, Clock};
+use crate::tally::{End, Tally};
 use crate::upstream::{Attempt, Got, Upstream};
 use crossbeam_channel::{bounded, Receiver, Sender};
 use foldmux::interface::*;
@@ -137,6 +138,7 @@
     pub buffers: Arc<Buffers>,
     pub members: Arc<Members>,
     pub upstream: Upstream,
+    pub tally: Tally,
     /// Advised with a refusal of the core's own.
     pub shed_wait: Time,
     most: usize,
@@ -164,6 +166,7 @@
             buffers,
             members,
             upstream,
+            tally: Tally::default(),
             shed_wait,
             most,
             open,
@@ -191,6 +194,12 @@
             return;
         }
         self.open.fetch_sub(1, Ordering::SeqCst);
+        self.shed(reply);
+    }
+
+    /// Refuses what the program has no room for, before the module hears of it.
+    fn shed(&self, reply: Box<dyn Reply>) {
+        self.tally.end(End::Shed);
         reply.answer(Answer::Shed { wait: self.shed_wait });
     }
 
@@ -229,7 +238,7 @@
 /// The one place where a request lives: asked, attempted, reported, repeated, answered.
 fn serve(core: &Core, inquiry: Inquiry, slot: &Arc<Slot>, reply: Box<dyn Reply>) {
     let Some(mut bytes) = core.buffers.lease() else {
-        return reply.answer(Answer::Shed { wait: core.shed_wait });
+        return core.shed(reply);
     };
     let (sender, orders) = bounded(ORDERS);
     let _ended = Ended(core, slot.id);
@@ -244,24 +253,27 @@
         budget: deadline.saturating_duration_since(Instant::now()).as_micros() as Time,
     };
     core.desk.tell(Notice::Ask { ask, slot: slot.clone(), orders: sender });
-    loop {
+    let (end, answer) = loop {
         match orders.recv_deadline(deadline + span(UNORDERED)) {
             Ok(Order::Fetch(fetch, target)) => {
                 let attempt = Attempt { inquiry: &inquiry, slot, fetch: &fetch, target: &target, deadline };
                 let (outcome, got) = core.upstream.attempt(&attempt, &mut bytes);
+                core.tally.attempt(outcome);
                 let elapsed = target.decided.elapsed().as_micros() as Time;
                 let last = got.is_some() || slot.left();
                 let (id, attempt, note) = (slot.id, target.attempt, Note::Untold);
                 core.desk.tell(Notice::Outcome(Report { id, attempt, outcome, note, elapsed, last }));
                 match got {
-                    Some(Got::Body(body)) => return reply.answer(Answer::Served(Served { bytes, body })),
-                    Some(Got::Same) => return reply.answer(Answer::Same),
+                    Some(Got::Body(body)) => break (End::Served, Answer::Served(Served { bytes, body })),
+                    Some(Got::Same) => break (End::Same, Answer::Same),
                     None => {}
                 }
             }
-            Ok(Order::Refuse { wait }) => return reply.answer(Answer::Shed { wait }),
+            Ok(Order::Refuse { wait }) => break (End::Refused, Answer::Shed { wait }),
             Ok(Order::Over) => return,
-            Ok(Order::Fail) | Err(_) => return reply.answer(Answer::Failed),
+            Ok(Order::Fail) | Err(_) => break (End::Failed, Answer::Failed),
         }
-    }
+    };
+    core.tally.end(end);
+    reply.answer(answer);
 }
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod http;
 pub mod journal;
 pub mod server;
+pub mod tally;
 pub mod upstream;
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -28,6 +28,7 @@
 const LINGER: Duration = Duration::from_millis(50);
 /// Longest wait for what is open after that: SIGKILL follows.
 const LONGEST: Duration = Duration::from_secs(6);
+const TALLY_EVERY: Duration = Duration::from_secs(5);
 /// Advised with a refusal of the core's own (us), where clients follow as much.
 const SHED_WAIT: Time = 300_000;
 
@@ -38,7 +39,7 @@
     let decoded = config.decoded;
     let clock = Clock::default();
     let members = Arc::new(Members::default());
-    let pool = Pool::new(bounds.idle, span(decoded.keep_alive));
+    let pool = Pool::new(bounds.upstream, span(decoded.keep_alive));
     let shed_wait = decoded.settings.retry_after.map_or(0, |longest| SHED_WAIT.min(longest));
     let router = Router::new(decoded.settings, config.seed);
     let (desk, handle) = Desk::new(router, clock.clone(), members.clone(), pool.clone());
@@ -73,6 +74,11 @@
     named("accept", READER_STACK, move || accept(&listener, bounds.clients, Arc::new(serve)))?;
     eprintln!("{} serves on {}", config.name, config.listen);
 
+    let told = core.clone();
+    named("tally", READER_STACK, move || loop {
+        thread::sleep(TALLY_EVERY);
+        told.tally.line().iter().for_each(|line| eprintln!("{line}; {} open", told.open()));
+    })?;
     // The desk ends only by a fault: then nothing can be decided any more, and the platform must see it.
     named("watch", READER_STACK, move || {
         let _ = desk.join();
--- a/proxy/src/upstream/mod.rs
+++ b/proxy/src/upstream/mod.rs
@@ -4,7 +4,7 @@
 
 use crate::clock::{span, Clock};
 use crate::core::desk::Target;
-use crate::core::members::{Listed, Members, Start};
+use crate::core::members::Members;
 use crate::core::request::{Inquiry, Slot};
 use crate::http::{read_response, Broken, Response};
 use foldmux::interface::{Fetch, Outcome, Time};
@@ -60,9 +60,16 @@
         let (Some(cache), Some(start)) = (self.members.get(fetch.cache), target.cache) else {
             return (Outcome::NeverSent, None);
         };
-        let stream = match self.connect(&cache, start, until) {
+        let Some(mut loan) = self.pool.lend(cache.member.cache, start) else {
+            return (Outcome::NeverSent, None);
+        };
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return (Outcome::NeverSent, None);
+        }
+        let stream = match loan.stream(left.min(self.dial_time_out)) {
             Ok(stream) => stream,
-            Err(outcome) => return (outcome, None),
+            Err(error) => return (dial_outcome(error), None),
         };
         if !slot.hold(target.attempt, &stream) {
             return (Outcome::Cancelled, None);
@@ -74,31 +81,17 @@
         if let Err(broken) = write_all(&stream, &[head.as_bytes(), body], until) {
             return (outcome_of(broken), None);
         }
-        match read_response(&stream, buffer, until) {
+        let response = read_response(&stream, buffer, until);
+        slot.release();
+        match response {
             Ok(response) => {
-                if response.reusable {
-                    slot.release();
-                    self.pool.give_back(fetch.cache, start, stream);
-                }
+                loan.reusable = response.reusable;
                 judge(response, inquiry.got.is_some())
             }
             Err(broken) => (outcome_of(broken), None),
         }
     }
 
-    fn connect(&self, cache: &Listed, start: Start, until: Instant) -> Result<Arc<TcpStream>, Outcome> {
-        if let Some(stream) = self.pool.take(cache.member.cache, start) {
-            return Ok(stream);
-        }
-        let left = until.saturating_duration_since(Instant::now()).min(self.dial_time_out);
-        if left.is_zero() {
-            return Err(Outcome::NeverSent);
-        }
-        let stream = TcpStream::connect_timeout(&start.address, left).map_err(dial_outcome)?;
-        let _ = stream.set_nodelay(true);
-        Ok(Arc::new(stream))
-    }
-
     /// The request's head, or none where it must not be sent any more.
     fn head(&self, attempt: &Attempt, until: Instant) -> Option<String> {
         let Attempt { inquiry, fetch, target, .. } = attempt;
@@ -113,8 +106,8 @@
             return None;
         }
         let Inquiry { via, class_name, object_text, part, .. } = inquiry;
-        let method = if inquiry.body.is_some() { "POST" } else { "GET" };
-        let mut head = format!("{method} /v2/q/{class_name}/{object_text}/{part} HTTP/1.1\r\n");
+        // Also where there is a body: the caches know no other method.
+        let mut head = format!("GET /v2/q/{class_name}/{object_text}/{part} HTTP/1.1\r\n");
         let mut field = |name: &str, value: &dyn std::fmt::Display| {
             let _ = write!(head, "{name}: {value}\r\n");
         };
