--- a/proxy/src/core/request.rs
+++ b/proxy/src/core/request.rs
@@ -6,13 +6,13 @@
 use crate::clock::{span, Clock};
 use crate::tally::{End, Tally};
 use crate::upstream::{Attempt, Got, Upstream};
-use crossbeam_channel::{bounded, Receiver, Sender};
+use crossbeam_channel::{bounded, Sender};
 use foldmux::interface::*;
 use std::net::{Shutdown, TcpStream};
 use std::ops::Range;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::Instant;
 
@@ -79,7 +79,7 @@
         Arc::new(Slot { id, state: Mutex::default() })
     }
 
-    fn state(&self) -> std::sync::MutexGuard<'_, SlotState> {
+    fn state(&self) -> MutexGuard<'_, SlotState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -143,9 +143,11 @@
     pub shed_wait: Time,
     most: usize,
     open: AtomicUsize,
-    threads: AtomicUsize,
     serial: AtomicU64,
-    jobs: (Sender<Job>, Receiver<Job>),
+    /// Threads that wait for a job, each at a channel of its own; the last to finish is the first to go on.
+    /// Guards against a livelock: hundreds of threads that wait at one channel spin in turn for whoever holds
+    /// its slot, and on one core that thread may not get to run for a second.
+    idle: Mutex<Vec<Sender<Job>>>,
 }
 
 impl Core {
@@ -158,8 +160,6 @@
         shed_wait: Time,
         most: usize,
     ) -> Arc<Core> {
-        let zero = AtomicUsize::default;
-        let (open, threads, serial, jobs) = (zero(), zero(), AtomicU64::new(1), bounded(most.max(1)));
         Arc::new(Core {
             clock,
             desk,
@@ -169,10 +169,9 @@
             tally: Tally::default(),
             shed_wait,
             most,
-            open,
-            threads,
-            serial,
-            jobs,
+            open: AtomicUsize::new(0),
+            serial: AtomicU64::new(1),
+            idle: Mutex::default(),
         })
     }
 
@@ -186,15 +185,25 @@
 
     /// Starts a request, or sheds it at once where the program is full.
     pub fn start(self: &Arc<Core>, inquiry: Inquiry, slot: Arc<Slot>, reply: Box<dyn Reply>) {
-        let open = self.open.fetch_add(1, Ordering::SeqCst) + 1;
-        let room = open <= self.most && (self.threads.load(Ordering::SeqCst) >= open || self.spawn());
-        if room {
-            let _ = self.jobs.0.send(Job { inquiry, slot, reply });
-            // The channel holds as many jobs as may be open, so this never waited.
-            return;
+        let job = Job { inquiry, slot, reply };
+        let refused = if self.open.fetch_add(1, Ordering::SeqCst) >= self.most {
+            Some(job)
+        } else {
+            let idle = self.idle().pop();
+            match idle.map(Ok).unwrap_or_else(|| self.spawn()) {
+                Ok(thread) => thread.send(job).err().map(|e| e.0),
+                // The machine gives no more threads; those that there are serve on.
+                Err(_) => Some(job),
+            }
+        };
+        if let Some(job) = refused {
+            self.open.fetch_sub(1, Ordering::SeqCst);
+            self.shed(job.reply);
         }
-        self.open.fetch_sub(1, Ordering::SeqCst);
-        self.shed(reply);
+    }
+
+    fn idle(&self) -> MutexGuard<'_, Vec<Sender<Job>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Refuses what the program has no room for, before the module hears of it.
@@ -203,20 +212,22 @@
         reply.answer(Answer::Shed { wait: self.shed_wait });
     }
 
-    /// One more thread, where the machine gives it; those that there are serve on.
-    fn spawn(self: &Arc<Core>) -> bool {
+    /// One more thread: there are as many as requests were ever open at once.
+    fn spawn(self: &Arc<Core>) -> std::io::Result<Sender<Job>> {
         let core = self.clone();
+        let (sender, jobs) = bounded(1);
+        let own = sender.clone();
         let thread = thread::Builder::new().name("request".into()).stack_size(STACK);
-        let spawned = thread.spawn(move || {
-            for job in core.jobs.1.clone() {
+        thread.spawn(move || {
+            for job in jobs {
                 let Job { inquiry, slot, reply } = job;
-                // Guards against a fault in one request ending the thread, and with it others' turns.
+                // Guards against a fault in one request ending the thread: its drops have given all back.
                 let _ = catch_unwind(AssertUnwindSafe(|| serve(&core, inquiry, &slot, reply)));
+                core.idle().push(own.clone());
                 core.open.fetch_sub(1, Ordering::SeqCst);
             }
-        });
-        self.threads.fetch_add(spawned.is_ok() as usize, Ordering::SeqCst);
-        spawned.is_ok()
+        })?;
+        Ok(sender)
     }
 
     /// The client left: the module hears, and the attempt's socket is shut.
