--- a/src/brain.rs
+++ b/src/brain.rs
@@ -795,7 +795,9 @@
         }
         if outcome != Outcome::Miss {
             // Guards against retries that keep an overload or an outage going; full is an overload's sign.
-            if self.retries < 1.0 || (outcome == Outcome::Full && safe) {
+            // Where notes are not given, full may be the source's word: another source is tried once.
+            let told = self.settings.notes == Notes::All || request.attempts > 1;
+            if self.retries < 1.0 || (outcome == Outcome::Full && safe && told) {
                 return self.give_up(id, out);
             }
             self.retries -= 1.0;
