--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -205,3 +205,14 @@
         (5_000..5_030).flat_map(|k| fetches(&front.request(0, k).1)).map(|f| f.source).collect();
     assert!(sources.contains(&CacheId(30)), "still asked: {sources:?}");
 }
+
+#[test]
+fn a_full_answer_without_notes_has_one_other_source_tried() {
+    let mut front = Front::new(Settings { notes: Notes::None, ..settings() }, members());
+    let (_, actions) = front.request(0, 100);
+    let first = only_fetch(&actions);
+    let second = only_fetch(&front.outcome(&first, 0, Outcome::Full, Note::Untold));
+    assert_ne!(second.source, first.source);
+    let end = front.outcome(&second, 1, Outcome::Full, Note::Untold);
+    assert!(fetches(&end).is_empty() && finals(&end) == 1, "the second full answer ends the try");
+}
