--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -4,6 +4,7 @@
 use foldmux_settings::{Decoded, Facts};
 use serde::Deserialize;
 use std::net::SocketAddr;
+use std::path::Path;
 
 #[derive(Deserialize)]
 struct Document {
@@ -64,6 +65,19 @@
     pub decoded: Decoded,
 }
 
+/// The configuration in a file, with what the environment overrides.
+pub fn read(file: &Path) -> Result<Config, String> {
+    let bytes = std::fs::read(file).map_err(|e| format!("{}: {e}", file.display()))?;
+    let mut config = parse(bytes)?;
+    if let Ok(listen) = std::env::var("GW_LISTEN") {
+        config.listen = listen.parse().map_err(|_| format!("GW_LISTEN {listen:?} is no address"))?;
+    }
+    if let Ok(name) = std::env::var("GW_NAME") {
+        config.name = name;
+    }
+    Ok(config)
+}
+
 /// The configuration, or one plain line on what is wrong with it.
 pub fn parse(mut bytes: Vec<u8>) -> Result<Config, String> {
     let document: Document =
--- a/proxy/src/journal.rs
+++ b/proxy/src/journal.rs
@@ -9,10 +9,9 @@
 use foldmux::interface::{Member, ObjectId, State};
 use serde::Deserialize;
 use std::io::Write;
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
-use std::thread;
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Asked for: short, so that a connection that went silent is noticed well within the 7 s after which all
@@ -162,18 +161,20 @@
         Some(Listed { member, name: line.name.as_str().into(), address })
     }
 
-    /// Polls for as long as the program runs.
-    pub fn follow(mut self, service: SocketAddr) {
+    /// Polls for as long as the program runs, wherever the service is.
+    pub fn follow(mut self, service: &Service) {
         let mut buffer = vec![0; ANSWER];
-        let mut connection = None;
         let mut backoff = BACKOFF.0;
         loop {
-            match self.poll(service, &mut connection, &mut buffer) {
+            let (address, moves) = service.current();
+            match self.poll(service, address, moves, &mut buffer) {
                 Ok(()) => backoff = BACKOFF.0,
+                // What ended with the move to another address is no news of the service.
+                Err(_) if service.pause(moves, Duration::ZERO) => backoff = BACKOFF.0,
                 Err(why) => {
                     eprintln!("journal service: {why}; asking again in {backoff:?}");
-                    connection = None;
-                    thread::sleep(backoff);
+                    service.hang_up();
+                    service.pause(moves, backoff);
                     backoff = (backoff * 2).min(BACKOFF.1);
                 }
             }
@@ -183,22 +184,17 @@
 
     fn poll(
         &mut self,
-        service: SocketAddr,
-        connection: &mut Option<TcpStream>,
+        service: &Service,
+        address: SocketAddr,
+        moves: u64,
         buffer: &mut [u8],
     ) -> Result<(), String> {
-        let mut stream = match connection.take() {
-            Some(stream) => stream,
-            None => {
-                TcpStream::connect_timeout(&service, PATIENCE).map_err(|e| format!("no connection: {e}"))?
-            }
-        };
+        let stream = service.connection(address, moves)?;
         let (tail, wait) = (self.pos, MAX_WAIT.as_millis());
-        let request = format!("GET /journal?tail={tail}&max_wait={wait} HTTP/1.1\r\nHost: {service}\r\n\r\n");
+        let request = format!("GET /journal?tail={tail}&max_wait={wait} HTTP/1.1\r\nHost: {address}\r\n\r\n");
         let deadline = Instant::now() + MAX_WAIT + PATIENCE;
-        let _ = stream.set_nodelay(true);
         let written =
-            stream.set_write_timeout(Some(PATIENCE)).and_then(|()| stream.write_all(request.as_bytes()));
+            stream.set_write_timeout(Some(PATIENCE)).and_then(|()| (&*stream).write_all(request.as_bytes()));
         written.map_err(|e| format!("not asked: {e}"))?;
         let response = read_response(&stream, buffer, deadline).map_err(|e| match e {
             Broken::TimedOut => "no answer in time".to_string(),
@@ -214,7 +210,87 @@
         if !self.take(&feed) {
             return Err(format!("events after {} are missing or can't be read", self.pos));
         }
-        *connection = reusable.then_some(stream);
+        if !reusable {
+            service.hang_up();
+        }
         Ok(())
     }
 }
+
+/// Where the journal service is, and the one connection to it. A move shuts that at once: the poll that waits
+/// on it would hear nothing more, and the events after it are told at the new address alone.
+pub struct Service {
+    state: Mutex<Place>,
+    moved: Condvar,
+}
+
+struct Place {
+    address: Option<SocketAddr>,
+    moves: u64,
+    connection: Option<Arc<TcpStream>>,
+}
+
+impl Service {
+    pub fn new(address: Option<SocketAddr>) -> Service {
+        Service { state: Mutex::new(Place { address, moves: 0, connection: None }), moved: Condvar::new() }
+    }
+
+    fn state(&self) -> MutexGuard<'_, Place> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A service that stays where it is keeps its poll.
+    pub fn move_to(&self, address: SocketAddr) {
+        let mut place = self.state();
+        if place.address != Some(address) {
+            (place.address, place.moves) = (Some(address), place.moves + 1);
+            place.hang_up();
+            self.moved.notify_all();
+        }
+    }
+
+    /// Where it is, once there is one, and how often it has moved.
+    fn current(&self) -> (SocketAddr, u64) {
+        let mut place = self.state();
+        loop {
+            if let Some(address) = place.address {
+                return (address, place.moves);
+            }
+            place = self.moved.wait(place).unwrap_or_else(PoisonError::into_inner);
+        }
+    }
+
+    /// Waits, but not beyond a move; whether there was one.
+    fn pause(&self, moves: u64, time: Duration) -> bool {
+        let waited = self.moved.wait_timeout_while(self.state(), time, |place| place.moves == moves);
+        waited.unwrap_or_else(PoisonError::into_inner).0.moves != moves
+    }
+
+    /// The connection that there is, or a new one.
+    fn connection(&self, address: SocketAddr, moves: u64) -> Result<Arc<TcpStream>, String> {
+        if let Some(held) = self.state().connection.as_ref() {
+            return Ok(held.clone());
+        }
+        let dialled = TcpStream::connect_timeout(&address, PATIENCE);
+        let stream = Arc::new(dialled.map_err(|e| format!("no connection: {e}"))?);
+        let _ = stream.set_nodelay(true);
+        let mut place = self.state();
+        if place.moves != moves {
+            return Err("moved".to_string());
+        }
+        place.connection = Some(stream.clone());
+        Ok(stream)
+    }
+
+    fn hang_up(&self) {
+        self.state().hang_up();
+    }
+}
+
+impl Place {
+    fn hang_up(&mut self) {
+        if let Some(stream) = self.connection.take() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -2,7 +2,7 @@
 
 use foldmux_proxy::fronts::dns::server::Setup;
 use foldmux_proxy::{config, server};
-use lexopt::{Arg, Parser, ValueExt};
+use lexopt::{Arg, Parser};
 use std::ffi::OsString;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -10,7 +10,7 @@
 const USAGE: &str = "\
 foldmux, an edge proxy in front of pop caches
 
-  foldmux serve [--config FILE] [--dns FILE]          run in the foreground until SIGTERM
+  foldmux serve [--config FILE] [--dns FILE]          run in the foreground until SIGTERM; SIGHUP reloads
   foldmux check-config [--config FILE] [--dns FILE]   read the configuration and say what it holds
   foldmux version
   foldmux help
@@ -60,7 +60,7 @@
         Command::Help => println!("{USAGE}"),
         Command::Version => println!("foldmux {}", env!("CARGO_PKG_VERSION")),
         Command::Check => {
-            let config = read(file)?;
+            let config = config::read(&place(file)?)?;
             if let Some(setup) = setup(dns)? {
                 println!("{setup:?}");
             }
@@ -69,9 +69,10 @@
             println!("{bounds:?}, {} events known", config.known.entries.len());
         }
         Command::Serve => {
-            let config = read(file)?;
+            let file = place(file)?;
+            let config = config::read(&file)?;
             let bound = setup(dns)?.map(Setup::bind).transpose()?;
-            server::run(config, bound)?;
+            server::run(config, &file, bound)?;
         }
     }
     Ok(())
@@ -83,17 +84,8 @@
     Setup::parse(bytes).map(Some)
 }
 
-fn read(file: Option<OsString>) -> Result<config::Config, String> {
+/// Where the configuration is: the same file is read at the start and at each reload.
+fn place(file: Option<OsString>) -> Result<PathBuf, String> {
     let file = file.or_else(|| std::env::var_os("GW_CONFIG")).ok_or("no configuration: set GW_CONFIG")?;
-    let file = PathBuf::from(file);
-    let bytes = std::fs::read(&file).map_err(|e| format!("{}: {e}", file.display()))?;
-    let mut config = config::parse(bytes)?;
-    if let Some(listen) = std::env::var_os("GW_LISTEN") {
-        let listen: String = listen.string().map_err(|e| e.to_string())?;
-        config.listen = listen.parse().map_err(|_| format!("GW_LISTEN {listen:?} is no address"))?;
-    }
-    if let Ok(name) = std::env::var("GW_NAME") {
-        config.name = name;
-    }
-    Ok(config)
+    Ok(file.into())
 }
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -2,20 +2,21 @@
 
 use crate::clock::span;
 use crate::clock::Clock;
-use crate::config::Config;
+use crate::config::{self, Config};
 use crate::core::buffers::Buffers;
 use crate::core::members::Members;
 use crate::core::{Core, Desk};
 use crate::fronts::dns::server::Bound;
 use crate::fronts::msgpack::Front;
-use crate::journal::{Journal, Names};
+use crate::journal::{Journal, Names, Service};
 use crate::upstream::{pool::Pool, Upstream};
 use foldmux::interface::Time;
 use foldmux::Router;
-use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::io;
 use std::net::{TcpListener, TcpStream};
+use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
@@ -33,9 +34,9 @@
 /// Advised with a refusal of the core's own (us), where clients follow as much.
 const SHED_WAIT: Time = 300_000;
 
-/// Runs until a signal ends it; an error is one plain line.
-pub fn run(config: Config, dns: Option<Bound>) -> Result<(), String> {
-    let mut signals = Signals::new([SIGTERM, SIGINT]).map_err(|e| format!("signals: {e}"))?;
+/// Runs until a signal ends it; an error is one plain line. `file` is where the configuration came from.
+pub fn run(config: Config, file: &Path, dns: Option<Bound>) -> Result<(), String> {
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
     let bounds = config.bounds;
     let decoded = config.decoded;
     let clock = Clock::default();
@@ -69,10 +70,12 @@
     if !journal.take(&config.known) {
         return Err("configuration: known has a gap in its events".to_string());
     }
-    match config.journal {
-        Some(service) => drop(named("journal", 512 * 1024, move || journal.follow(service))?),
-        None => eprintln!("no journal service: the list stays as configured"),
+    let service = Arc::new(Service::new(config.journal));
+    if config.journal.is_none() {
+        eprintln!("no journal service: the list stays as configured");
     }
+    let followed = service.clone();
+    named("journal", 512 * 1024, move || journal.follow(&followed))?;
 
     let listener =
         TcpListener::bind(config.listen).map_err(|e| format!("listening on {}: {e}", config.listen))?;
@@ -94,11 +97,22 @@
         eprintln!("the desk ended: no decisions can be made");
         std::process::exit(3);
     })?;
-    signals.forever().next();
+    for _ in signals.forever().take_while(|signal| *signal == SIGHUP) {
+        eprintln!("reload: {}", reload(file, &service).unwrap_or_else(|e| e + "; all stays as it was"));
+    }
     leave(&core, &leaving);
     Ok(())
 }
 
+/// Reads the configuration again and goes by where it says that the journal service is; whatever else it says
+/// holds from the next start. Guards against a file that can't be used, or names no journal service, costing
+/// the one that there is.
+fn reload(file: &Path, service: &Service) -> Result<String, String> {
+    let address = config::read(file)?.journal.ok_or("the configuration names no journal service")?;
+    service.move_to(address);
+    Ok(format!("the journal service is at {address}"))
+}
+
 /// Serves on for a while, answers what was taken, and returns.
 fn leave(core: &Core, leaving: &AtomicBool) {
     leaving.store(true, Ordering::SeqCst);
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -1,7 +1,8 @@
 //! The helper of all exchange tests: it starts the program, plays a text file against it and returns what the
 //! program sent. Lines: `client NAME > BYTES`, `client NAME <` (one message), `client NAME end` (it closes),
 //! `client NAME closed` (the program closed it), `cache > BYTES`, `cache <` (one request), `cache closed`,
-//! `journal > EVENTS` (in answer to the next call), `term` (SIGTERM), `ended`. The one cache is s-00000001, the
+//! `journal > EVENTS` (in answer to the next call), `journal moves` (SIGHUP, and the call that comes at the new
+//! address), `reload TEXT` (SIGHUP with this for a configuration, and the log's line), `term`, `ended`. The one cache is s-00000001, the
 //! parent s-00000002, the origin s-00000003. Bytes are text with \r, \n, \\ and \xNN.
 #![allow(dead_code)]
 
@@ -9,7 +10,9 @@
 use std::fmt::Write as _;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{channel, Receiver};
 use std::time::Duration;
 
 /// Longer than anything takes; it ends a test that waits for what never comes.
@@ -40,12 +43,33 @@
     )
 }
 
-pub struct Program(pub Child);
+pub struct Program {
+    child: Child,
+    file: PathBuf,
+    log: Receiver<String>,
+}
 
 impl Drop for Program {
     fn drop(&mut self) {
-        let _ = self.0.kill();
-        let _ = self.0.wait();
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.file);
+    }
+}
+
+impl Program {
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
+    }
+
+    /// Puts another configuration in place of the first; what the log says of it.
+    fn reload(&self, config: &str) -> String {
+        std::fs::write(&self.file, config).unwrap();
+        self.signal("-HUP");
+        std::iter::from_fn(|| self.log.recv_timeout(PATIENCE).ok())
+            .find(|line| line.starts_with("reload: "))
+            .expect("a line in the log")
     }
 }
 
@@ -61,19 +85,18 @@
     std::fs::write(&file, config).unwrap();
     let mut child =
         command(&["serve"]).env("GW_CONFIG", &file).stderr(Stdio::piped()).spawn().expect("the program");
-    let mut log = BufReader::new(child.stderr.take().unwrap());
-    let mut line = String::new();
-    log.read_line(&mut line).unwrap();
-    std::fs::remove_file(&file).unwrap();
-    std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+    let line = lines.next().unwrap_or_default();
+    let (told, log) = channel();
+    std::thread::spawn(move || lines.for_each(|line| drop(told.send(line))));
     let address = line.trim().rsplit(' ').next().unwrap().parse();
-    (Program(child), address.unwrap_or_else(|_| panic!("the program said: {line}")))
+    (Program { child, file, log }, address.unwrap_or_else(|_| panic!("the program said: {line}")))
 }
 
 /// Plays the lines and returns them, with what the program sent in its places.
 pub fn play(script: &str) -> String {
-    let (caches, journal) =
-        (TcpListener::bind("127.0.0.1:0").unwrap(), TcpListener::bind("127.0.0.1:0").unwrap());
+    let listener = || TcpListener::bind("127.0.0.1:0").unwrap();
+    let (caches, mut journal) = (listener(), listener());
     let (mut program, address) = start(&config(caches.local_addr().unwrap(), journal.local_addr().unwrap()));
     let mut clients: HashMap<String, BufReader<TcpStream>> = HashMap::new();
     let mut cache: Option<BufReader<TcpStream>> = None;
@@ -124,12 +147,19 @@
             ["journal", "closed"] => ended(&mut poll.take().unwrap()),
             // The call that follows on an answer shows that it was taken.
             ["journal", "<"] => request(poll.as_mut().unwrap()),
+            ["journal", "moves"] => {
+                journal = listener();
+                let (cache, address) = (caches.local_addr().unwrap(), journal.local_addr().unwrap());
+                program.reload(&config(cache, address));
+                let mut left = poll.replace(accept(&journal)).expect("a call at the old address");
+                format!("{}{}", ended(&mut left), request(poll.as_mut().unwrap()))
+            }
+            ["reload", ..] => program.reload(line.split_once(' ').unwrap().1),
             ["term"] => {
-                let id = program.0.id().to_string();
-                assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+                program.signal("-TERM");
                 String::new()
             }
-            ["ended"] => program.0.wait().unwrap().to_string(),
+            ["ended"] => program.child.wait().unwrap().to_string(),
             _ if line.starts_with('#') => String::new(),
             _ => panic!("no such line: {line}"),
         };
