Serve only answers that are proved whole, and pass interim ones over

Checked: by reading and by a probe on a socket pair; an answer without a length that was cut passed as whole; two lengths, "+2" and a chunk line without a size passed too; 103 before an answer spoilt it. Ruled out: bytes behind an answer on a reused connection (it was dropped already). Lines at fault: http.rs, Length::UntilClose, value.parse() of Content-Length, filter(|c| *c >= 200); upstream/mod.rs, Unreadable => Outcome::Error, which the module reads as a sick cache and a crowded origin, though the work ran and all caches spoil alike.

--- a/proxy/src/http.rs
+++ b/proxy/src/http.rs
@@ -6,6 +6,10 @@
 use std::time::Instant;
 
 const MOST_HEADERS: usize = 32;
+/// Longest head: guards against one that never ends filling the buffer.
+const MOST_HEAD: usize = 16 * 1024;
+/// Most interim answers (1xx) before the one that counts.
+const MOST_INTERIM: usize = 8;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Broken {
@@ -30,19 +34,25 @@
 enum Length {
     Known(usize),
     Chunked,
-    UntilClose,
 }
 
 /// Reads one answer. The buffer bounds its length; the deadline bounds the whole, not each read.
 pub fn read_response(stream: &TcpStream, buffer: &mut [u8], deadline: Instant) -> Result<Response, Broken> {
-    let mut filled = 0;
+    let (mut filled, mut interim) = (0, 0);
     let (mut response, length) = loop {
-        if let Some(head) = parse_head(&buffer[..filled])? {
-            break head;
-        }
-        match read_more(stream, buffer, &mut filled, deadline)? {
-            0 => return Err(Broken::Reset),
-            _ => continue,
+        match parse_head(&buffer[..filled])? {
+            Some(Head::Final(response, length)) => break (response, length),
+            Some(Head::Interim(length)) if interim < MOST_INTERIM => {
+                interim += 1;
+                buffer.copy_within(length..filled, 0);
+                filled -= length;
+            }
+            None if filled < MOST_HEAD => {
+                if read_more(stream, buffer, &mut filled, deadline)? == 0 {
+                    return Err(Broken::Reset);
+                }
+            }
+            _ => return Err(Broken::Unreadable),
         }
     };
     let start = response.body.start;
@@ -59,14 +69,13 @@
             response.reusable &= filled == start + n;
             response.body = start..start + n;
         }
-        Length::UntilClose => {
-            response.reusable = false;
-            while read_more(stream, buffer, &mut filled, deadline)? > 0 {}
-            response.body = start..filled;
-        }
         Length::Chunked => {
             let (mut at, mut end) = (start, start);
             loop {
+                if buffer[at..filled].first().is_some_and(|b| !b.is_ascii_hexdigit()) {
+                    // Guards against a line without a size, which would read as the last chunk.
+                    return Err(Broken::Unreadable);
+                }
                 let left = match httparse::parse_chunk_size(&buffer[at..filled]) {
                     Ok(httparse::Status::Complete((head, size))) => {
                         let size = usize::try_from(size).map_err(|_| Broken::Unreadable)?;
@@ -102,8 +111,15 @@
     Ok(response)
 }
 
-/// The head, once it is whole. Interim answers (1xx) are refused: none was asked for.
-fn parse_head(bytes: &[u8]) -> Result<Option<(Response, Length)>, Broken> {
+enum Head {
+    /// Where the answer that counts begins.
+    Interim(usize),
+    Final(Response, Length),
+}
+
+/// The head, once it is whole. Guards against an answer that nothing proves whole: one without a length, which
+/// ends alike whether it was cut or not, and one whose lengths are several, signed, or at odds.
+fn parse_head(bytes: &[u8]) -> Result<Option<Head>, Broken> {
     let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
     let mut head = httparse::Response::new(&mut headers);
     let start = match head.parse(bytes) {
@@ -111,28 +127,37 @@
         Ok(httparse::Status::Partial) => return Ok(None),
         Err(_) => return Err(Broken::Unreadable),
     };
-    let status = head.code.filter(|c| *c >= 200).ok_or(Broken::Unreadable)?;
+    let status = match head.code {
+        // Another protocol was not asked for.
+        None | Some(0..=99 | 101 | 600..) => return Err(Broken::Unreadable),
+        Some(100..=199) => return Ok(Some(Head::Interim(start))),
+        Some(status) => status,
+    };
     let mut reusable = head.version == Some(1);
-    let (mut untouched, mut length) = (false, Length::UntilClose);
+    let (mut untouched, mut length) = (false, None);
     for header in head.headers.iter() {
-        let value = std::str::from_utf8(header.value).map_err(|_| Broken::Unreadable)?.trim();
+        let value = header.value.trim_ascii();
         if header.name.eq_ignore_ascii_case("content-length") {
-            length = Length::Known(value.parse().map_err(|_| Broken::Unreadable)?);
+            let digits = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
+            let number = std::str::from_utf8(value).ok().filter(|_| digits).and_then(|v| v.parse().ok());
+            let number = number.filter(|_| length.is_none()).ok_or(Broken::Unreadable)?;
+            length = Some(Length::Known(number));
         } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
-            if !value.eq_ignore_ascii_case("chunked") {
+            if !value.eq_ignore_ascii_case(b"chunked") || length.is_some() || !reusable {
                 return Err(Broken::Unreadable);
             }
-            length = Length::Chunked;
+            length = Some(Length::Chunked);
         } else if header.name.eq_ignore_ascii_case("connection") {
-            reusable &= !value.eq_ignore_ascii_case("close");
+            reusable &= !value.split(|b| *b == b',').any(|w| w.trim_ascii().eq_ignore_ascii_case(b"close"));
         } else if header.name.eq_ignore_ascii_case("srv-untouched") {
-            untouched = value == "1";
+            untouched = value == b"1";
         }
     }
-    if matches!(status, 204 | 304) {
-        length = Length::Known(0);
-    }
-    Ok(Some((Response { status, body: start..start, reusable, untouched }, length)))
+    let length = match status {
+        204 | 304 => Length::Known(0),
+        _ => length.ok_or(Broken::Unreadable)?,
+    };
+    Ok(Some(Head::Final(Response { status, body: start..start, reusable, untouched }, length)))
 }
 
 fn read_more(
@@ -161,3 +186,66 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::io::Write;
+    use std::net::{Shutdown, TcpListener};
+    use std::time::Duration;
+
+    /// What is read of an answer that comes whole, and then the end.
+    fn read(bytes: &[u8]) -> Result<(u16, Vec<u8>, bool), Broken> {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut far = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        far.write_all(bytes).unwrap();
+        far.shutdown(Shutdown::Write).unwrap();
+        let mut buffer = vec![0; 64 * 1024];
+        let deadline = Instant::now() + Duration::from_secs(30);
+        let response = read_response(&listener.accept().unwrap().0, &mut buffer, deadline)?;
+        Ok((response.status, buffer[response.body].to_vec(), response.reusable))
+    }
+
+    #[test]
+    fn only_what_is_proved_whole_is_read() {
+        assert_eq!(read(b"HTTP/1.1 200 OK\r\nContent"), Err(Broken::Reset));
+        let read = |head: &str, rest: &str| read(format!("HTTP/1.1 {head}\r\n\r\n{rest}").as_bytes());
+        let (whole, chunked) = ("200 OK\r\nContent-Length: 2", "200 OK\r\nTransfer-Encoding: chunked");
+        let ok = |reusable| Ok((200, b"ok".to_vec(), reusable));
+        assert_eq!(read(whole, "ok"), ok(true));
+        assert_eq!(read(chunked, "2\r\nok\r\n0\r\n\r\n"), ok(true));
+        // What is behind an answer is not its own: the answer is good, the connection no longer.
+        assert_eq!(read(whole, "ok HTTP/1.1"), ok(false));
+        assert_eq!(read(chunked, "2\r\nok\r\n0\r\n\r\nx"), ok(false));
+        assert_eq!(read(&format!("{whole}\r\nConnection: foo, Close"), "ok"), ok(false));
+        assert_eq!(read("304 Not Modified\r\nContent-Length: 9", ""), Ok((304, vec![], true)));
+        // Interim answers come first, within a bound.
+        let many = |n| "100 Continue\r\n\r\nHTTP/1.1 ".repeat(n) + whole;
+        assert_eq!(read(&many(MOST_INTERIM), "ok"), ok(true));
+        assert_eq!(read(&many(MOST_INTERIM + 1), "ok"), Err(Broken::Unreadable));
+        for (head, rest) in [(whole, "o"), (chunked, "2\r\nok\r\n0\r\n")] {
+            assert_eq!(read(head, rest), Err(Broken::Reset), "{head}");
+        }
+        let endless = "200 OK\r\nETag: ".to_string() + &"x".repeat(MOST_HEAD);
+        for (head, rest) in [
+            ("200 OK", "ok"),
+            ("101 Switching Protocols", ""),
+            ("099 OK\r\nContent-Length: 2", "ok"),
+            ("200 OK\r\nContent-Length: +2", "ok"),
+            ("200 OK\r\nContent-Length: -2", "ok"),
+            ("200 OK\r\nContent-Length:", "ok"),
+            ("200 OK\r\nContent-Length: 2, 2", "ok"),
+            ("200 OK\r\nContent-Length: 2\r\nContent-Length: 2", "ok"),
+            ("200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked", "2\r\nok\r\n0\r\n\r\n"),
+            ("200 OK\r\nContent-Length: 3000000000", "ok"),
+            ("304 Not Modified\r\nContent-Length: x", ""),
+            (chunked, "-2\r\nok\r\n0\r\n\r\n"),
+            (chunked, "2\r\nok\r\n\r\n\r\n"),
+            (chunked, "2\r\nokay\r\n0\r\n\r\n"),
+            (chunked, "ffffffffffffffff\r\nok"),
+            (&endless, ""),
+        ] {
+            assert_eq!(read(head, rest), Err(Broken::Unreadable), "{head}");
+        }
+    }
+}
--- a/proxy/src/upstream/mod.rs
+++ b/proxy/src/upstream/mod.rs
@@ -154,8 +154,9 @@
         Broken::TimedOut => Outcome::TimedOut,
         // A break after writing may have run, also on a connection that was idle before: never sent again
         // behind the module's back.
-        Broken::Reset => Outcome::Reset,
-        Broken::Unreadable => Outcome::Error,
+        // An answer that can't be read is one that was lost on its way: the work ran, and its like, spoilt at
+        // all caches, says nothing of one cache's health or of the origin's.
+        Broken::Reset | Broken::Unreadable => Outcome::Reset,
     }
 }
 
