Check every field once, in PROTOCOL's form, and let silent connections make way

Silent connections and half messages held a place for 30 s, and at the bound all newcomers were closed unheard. Lines at fault: codec.rs fields(); msgpack/mod.rs IDLE = 30 s, Opened::Twice => return; server.rs accept(), held >= most. Now shares bind from 15/16 on, and are the places over the connections that ask.

--- a/proxy/src/core/buffers.rs
+++ b/proxy/src/core/buffers.rs
@@ -16,6 +16,7 @@
 struct State {
     free: Vec<Box<[u8]>>,
     made: usize,
+    bodies: usize,
 }
 
 impl Buffers {
@@ -25,7 +26,20 @@
 
     /// A buffer, or none where all are out: the caller sheds.
     pub fn lease(self: &Arc<Self>) -> Option<Lease> {
+        self.take(false)
+    }
+
+    /// One for the body of a request. Guards against bodies that never come whole keeping all from answers: they
+    /// have a quarter.
+    pub fn lease_for_body(self: &Arc<Self>) -> Option<Lease> {
+        self.take(true)
+    }
+
+    fn take(self: &Arc<Self>, body: bool) -> Option<Lease> {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        if body && state.bodies >= (self.most / 4).max(1) {
+            return None;
+        }
         let bytes = match state.free.pop() {
             Some(bytes) => bytes,
             None if state.made < self.most => {
@@ -34,7 +48,8 @@
             }
             None => return None,
         };
-        Some(Lease { bytes, pool: self.clone() })
+        state.bodies += body as usize;
+        Some(Lease { bytes, body, pool: self.clone() })
     }
 
     pub fn out(&self) -> usize {
@@ -45,6 +60,7 @@
 
 pub struct Lease {
     bytes: Box<[u8]>,
+    body: bool,
     pool: Arc<Buffers>,
 }
 
@@ -65,6 +81,7 @@
     fn drop(&mut self) {
         let mut state = self.pool.state.lock().unwrap_or_else(PoisonError::into_inner);
         state.free.push(std::mem::take(&mut self.bytes));
+        state.bodies -= self.body as usize;
     }
 }
 
@@ -82,5 +99,10 @@
         assert_eq!(pool.lease().unwrap()[0], 7);
         drop(second);
         assert_eq!(pool.out(), 0);
+        // Bodies leave the others to answers.
+        let body = pool.lease_for_body().unwrap();
+        assert!(pool.lease_for_body().is_none() && pool.lease().is_some());
+        drop(body);
+        assert!(pool.lease_for_body().is_some());
     }
 }
--- a/proxy/src/core/request.rs
+++ b/proxy/src/core/request.rs
@@ -8,6 +8,7 @@
 use crate::upstream::{Attempt, Got, Upstream};
 use crossbeam_channel::{bounded, Sender};
 use foldmux::interface::*;
+use std::collections::HashSet;
 use std::net::{Shutdown, TcpStream};
 use std::ops::Range;
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -22,13 +23,13 @@
 /// what is overdue comes first.
 const UNORDERED: Time = 30_000;
 
-/// A request as a front read it. What is passed on unchanged is kept as text.
+/// A request as a front read and checked it.
 pub struct Inquiry {
-    pub via: String,
+    /// The client's id for it.
+    pub via: u64,
     pub class: usize,
     pub class_name: Arc<str>,
     pub object: u64,
-    pub object_text: String,
     pub part: u32,
     pub group: u32,
     pub size_kb: f64,
@@ -126,6 +127,7 @@
 }
 
 struct Job {
+    _claim: Claim,
     inquiry: Inquiry,
     slot: Arc<Slot>,
     reply: Box<dyn Reply>,
@@ -146,6 +148,8 @@
     most: usize,
     open: AtomicUsize,
     serial: AtomicU64,
+    /// The clients' ids of open requests.
+    claimed: Mutex<HashSet<u64>>,
     /// Threads that wait for a job, each at a channel of its own; the last to finish is the first to go on.
     /// Guards against a livelock: hundreds of threads that wait at one channel spin in turn for whoever holds
     /// its slot, and on one core that thread may not get to run for a second.
@@ -173,6 +177,7 @@
             most,
             open: AtomicUsize::new(0),
             serial: AtomicU64::new(1),
+            claimed: Mutex::default(),
             idle: Mutex::default(),
         })
     }
@@ -187,7 +192,12 @@
 
     /// Starts a request, or sheds it at once where the program is full.
     pub fn start(self: &Arc<Core>, inquiry: Inquiry, slot: Arc<Slot>, reply: Box<dyn Reply>) {
-        let job = Job { inquiry, slot, reply };
+        // Guards against a request under the id of an open one: a cache would take them for one request.
+        let Some(claim) = Claim::on(self, inquiry.via) else {
+            self.tally.end(End::Failed);
+            return reply.answer(Answer::Failed);
+        };
+        let job = Job { _claim: claim, inquiry, slot, reply };
         let refused = if self.open.fetch_add(1, Ordering::SeqCst) >= self.most {
             Some(job)
         } else {
@@ -222,7 +232,7 @@
         let thread = thread::Builder::new().name("request".into()).stack_size(STACK);
         thread.spawn(move || {
             for job in jobs {
-                let Job { inquiry, slot, reply } = job;
+                let Job { _claim, inquiry, slot, reply } = job;
                 // Guards against a fault in one request ending the thread: its drops have given all back.
                 let _ = catch_unwind(AssertUnwindSafe(|| serve(&core, inquiry, &slot, reply)));
                 core.idle().push(own.clone());
@@ -232,6 +242,11 @@
         Ok(sender)
     }
 
+    /// Where nearly all places are taken: the share of one in so many that ask.
+    pub fn share(&self, among: usize) -> Option<usize> {
+        (self.open() >= self.most * 15 / 16).then(|| (self.most / among.max(1)).max(1))
+    }
+
     /// Whether a member started so lately that it may be cold.
     pub fn cold(&self, now: Time, listed: &Listed) -> bool {
         listed.member.boot > 0 && now < listed.member.boot + self.cold_for
@@ -244,6 +259,22 @@
     }
 }
 
+/// A client's id, while the request under it is open.
+struct Claim(Arc<Core>, u64);
+
+impl Claim {
+    fn on(core: &Arc<Core>, via: u64) -> Option<Claim> {
+        let free = core.claimed.lock().unwrap_or_else(PoisonError::into_inner).insert(via);
+        free.then(|| Claim(core.clone(), via))
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        self.0.claimed.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.1);
+    }
+}
+
 /// The end of a request at the desk, however its function ends.
 struct Ended<'a>(&'a Core, RequestId);
 
--- a/proxy/src/fronts/dns/mod.rs
+++ b/proxy/src/fronts/dns/mod.rs
@@ -120,7 +120,7 @@
             Asked::Apex => Reply::answers(Vec::new()),
             Asked::Unknown => Reply::no(ResponseCode::NXDomain, None),
             Asked::Node(member) => self.node(query, &member),
-            Asked::Part { class, object, object_text, part } => {
+            Asked::Part { class, object, part } => {
                 let Some(class) = self.classes.iter().position(|(name, _)| **name == *class) else {
                     return Reply::no(ResponseCode::NXDomain, None);
                 };
@@ -129,22 +129,21 @@
                     let why = "a write is not routed by name";
                     return Reply::no(ResponseCode::Refused, Some((EDE_PROHIBITED, why)));
                 }
-                self.part(query, class, object, object_text, part)
+                self.part(query, class, object, part)
             }
         }
     }
 
-    fn part(&self, query: &Query, class: usize, object: u64, object_text: String, part: u32) -> Reply {
+    fn part(&self, query: &Query, class: usize, object: u64, part: u32) -> Reply {
         let wanted = [RecordType::A, RecordType::AAAA, RecordType::SRV, RecordType::TXT];
         if !wanted.contains(&query.query_type()) {
             return Reply::answers(Vec::new());
         }
         let inquiry = Inquiry {
-            via: String::new(),
+            via: 0,
             class,
             class_name: self.classes[class].0.clone(),
             object,
-            object_text,
             part,
             group: 0,
             size_kb: 0.0,
--- a/proxy/src/fronts/dns/names.rs
+++ b/proxy/src/fronts/dns/names.rs
@@ -17,7 +17,6 @@
     Part {
         class: String,
         object: u64,
-        object_text: String,
         part: u32,
     },
     /// Under the zone, and nothing that it holds.
@@ -38,9 +37,7 @@
             let whole = object.len() == 16 && object.bytes().all(|b| b.is_ascii_hexdigit());
             let (number, part) = (u64::from_str_radix(object, 16), part.parse());
             match (whole, number, part) {
-                (true, Ok(number), Ok(part)) => {
-                    Asked::Part { class: class.clone(), object: number, object_text: object.clone(), part }
-                }
+                (true, Ok(object), Ok(part)) => Asked::Part { class: class.clone(), object, part },
                 _ => Asked::Unknown,
             }
         }
@@ -61,12 +58,7 @@
     fn names_are_read_by_their_labels_whatever_their_case() {
         let zone = Name::from_ascii("route.example.").unwrap();
         let read = |name: &str| read(&Name::from_ascii(name).unwrap(), &zone);
-        let part = Asked::Part {
-            class: "mix-video".into(),
-            object: 0x7f3a_9c21_e0b4_d655,
-            object_text: "7f3a9c21e0b4d655".into(),
-            part: 3,
-        };
+        let part = Asked::Part { class: "mix-video".into(), object: 0x7f3a_9c21_e0b4_d655, part: 3 };
         assert_eq!(read("3.7F3a9c21e0b4d655.Mix-Video.ROUTE.example."), part);
         assert_eq!(read("s-1.node.route.example."), Asked::Node("s-1".into()));
         assert_eq!((read("route.example."), read("example.")), (Asked::Apex, Asked::Outside));
--- a/proxy/src/fronts/dns/server.rs
+++ b/proxy/src/fronts/dns/server.rs
@@ -5,6 +5,7 @@
 use super::Dns;
 use crate::core::desk::Desk;
 use crate::core::Core;
+use crate::places::{Place, Places};
 use crate::server::{accept, named, READER_STACK};
 use crossbeam_channel::bounded;
 use foldmux::interface::Time;
@@ -140,15 +141,16 @@
             let dns = dns.clone();
             named("dns-udp", TLS_STACK, move || serve_udp(&dns, &socket))?;
         }
-        let most = (most / 2).max(1);
+        let places = || Places::new((most / 2).max(1));
         if let Some(listener) = self.tcp {
-            let dns = dns.clone();
-            let serve = move |stream: TcpStream| drop(prepared(&stream).and_then(|()| talk(&dns, stream)));
-            named("dns-tcp", READER_STACK, move || accept(&listener, most, TLS_STACK, Arc::new(serve)))?;
+            let (dns, places) = (dns.clone(), places());
+            let serve = move |place: Place| drop(serve_tcp(&dns, &place));
+            named("dns-tcp", READER_STACK, move || accept(&listener, &places, TLS_STACK, Arc::new(serve)))?;
         }
         if let Some((listener, identity)) = self.tls {
-            let serve = move |stream: TcpStream| drop(serve_tls(&dns, &identity, stream));
-            named("dns-tls", READER_STACK, move || accept(&listener, most, TLS_STACK, Arc::new(serve)))?;
+            let places = places();
+            let serve = move |place: Place| drop(serve_tls(&dns, &identity, &place));
+            named("dns-tls", READER_STACK, move || accept(&listener, &places, TLS_STACK, Arc::new(serve)))?;
         }
         Ok(())
     }
@@ -175,8 +177,14 @@
     stream.set_write_timeout(Some(IDLE))
 }
 
-fn serve_tls(dns: &Dns, identity: &Identity, stream: TcpStream) -> io::Result<()> {
-    prepared(&stream)?;
+fn serve_tcp(dns: &Dns, place: &Place) -> io::Result<()> {
+    prepared(&place.stream)?;
+    talk(dns, place, &*place.stream)
+}
+
+fn serve_tls(dns: &Dns, identity: &Identity, place: &Place) -> io::Result<()> {
+    let stream = &*place.stream;
+    prepared(stream)?;
     let connection = ServerConnection::new(identity.current()).map_err(io::Error::other)?;
     let mut stream = StreamOwned::new(connection, stream);
     while stream.conn.is_handshaking() {
@@ -187,11 +195,11 @@
         stream.conn.complete_io(&mut stream.sock)?;
         return Ok(());
     }
-    talk(dns, stream)
+    talk(dns, place, stream)
 }
 
 /// Messages with their length before them, one answered after the other (RFC 7766).
-fn talk(dns: &Dns, mut stream: impl Read + Write) -> io::Result<()> {
+fn talk(dns: &Dns, place: &Place, mut stream: impl Read + Write) -> io::Result<()> {
     let mut bytes = vec![0; 4096];
     loop {
         let mut length = [0; 2];
@@ -200,9 +208,13 @@
         // No query that is served here is as long: what follows is not read.
         let Some(message) = bytes.get_mut(..length) else { return Ok(()) };
         stream.read_exact(message)?;
+        if !place.busy() {
+            return Ok(());
+        }
         let Some(answer) = dns.respond(message, false) else { return Ok(()) };
         let length = u16::try_from(answer.len()).map_err(io::Error::other)?;
         stream.write_all(&[&length.to_be_bytes()[..], &answer].concat())?;
         stream.flush()?;
+        place.idle();
     }
 }
--- a/proxy/src/fronts/msgpack/mod.rs
+++ b/proxy/src/fronts/msgpack/mod.rs
@@ -6,6 +6,8 @@
 use crate::clock::span;
 use crate::core::request::Slot;
 use crate::core::{Answer, Core, Inquiry, Reply};
+use crate::places::Place;
+use crate::tally::End;
 use codec::{Call, Heard, Unread};
 use foldmux::interface::Time;
 use std::collections::HashMap;
@@ -21,42 +23,87 @@
 const WAYS: Time = 30_000;
 /// How long a client may leave an answer unread beyond its own deadline before its connection is closed.
 const SLOW: Duration = Duration::from_millis(500);
-/// A connection that neither asks nor awaits anything for so long is closed.
-const IDLE: Duration = Duration::from_secs(30);
+/// A connection that neither asks nor awaits anything for so long is closed; clients do so after 4 s.
+const IDLE: Duration = Duration::from_secs(6);
+/// For the first message, and for the rest of any message that has begun: a client is owed a word or a close
+/// within 3 s, whatever it sends.
+const HALF: Duration = Duration::from_millis(2_500);
+
+/// A class as it is served here.
+pub struct Taken {
+    pub name: Arc<str>,
+    /// Its requests carry an idempotency key.
+    pub keyed: bool,
+    /// The longest that a client waits for one.
+    pub longest: Time,
+}
 
 pub struct Front {
     pub core: Arc<Core>,
-    pub classes: Vec<Arc<str>>,
+    pub classes: Vec<Taken>,
     pub listed: Arc<AtomicBool>,
     pub leaving: Arc<AtomicBool>,
 }
 
 impl Front {
     /// Serves one connection until it ends; called on a thread of its own.
-    pub fn serve(&self, stream: TcpStream) {
-        let _ = stream.set_nodelay(true);
-        let connection = Arc::new(Connection::new(stream));
-        let mut reader = BufReader::with_capacity(4096, Patient(connection.clone()));
+    pub fn serve(&self, place: Place) {
+        let _ = place.stream.set_nodelay(true);
+        let connection = Arc::new(Connection::new(place));
+        let mut reader = BufReader::with_capacity(4096, Patient::new(connection.clone()));
+        let mut last = None;
         loop {
+            let begun = !reader.buffer().is_empty();
+            reader.get_mut().next(begun, last.is_some());
             let heard = codec::read(&mut reader, &self.core.buffers);
             let arrived = Instant::now();
+            let number = match &heard {
+                Ok(Heard::Call(call)) => Some(call.id),
+                Ok(Heard::Refused(id, _)) => Some(*id),
+                Err(Unread::Garbled(id, _)) => *id,
+                _ => None,
+            };
+            if number.is_some() && number <= last {
+                return self.misnumbered(&connection, number.unwrap_or_default());
+            }
+            last = number.or(last);
             match heard {
                 Ok(Heard::Call(call)) => self.call(&connection, call, arrived),
                 Ok(Heard::Forget(ids)) => {
-                    ids.into_iter().filter_map(|id| connection.close(id)).for_each(|s| self.core.leave(&s));
+                    for slot in ids.into_iter().filter_map(|id| connection.close(id)) {
+                        self.core.leave(&slot);
+                        connection.answered();
+                    }
                 }
-                Ok(Heard::Refused(id, why)) => connection.write_error(id, "Fault", Some(why)),
+                Ok(Heard::Refused(id, why)) => self.unusable(&connection, id, why),
                 Err(Unread::Garbled(id, why)) => {
                     // What follows can't be told apart any more. What was asked before is answered still.
-                    id.iter().for_each(|id| connection.write_error(*id, "Fault", Some(why)));
+                    id.iter().for_each(|id| self.unusable(&connection, *id, why));
                     return connection.end_when_answered();
                 }
+                Err(Unread::Over) if reader.get_ref().late => return connection.end_when_answered(),
                 Err(Unread::Over) => break,
             }
         }
         // The client closed: it wants none of its answers.
         connection.close_all().into_iter().for_each(|slot| self.core.leave(&slot));
-        let _ = connection.stream.shutdown(Shutdown::Both);
+        let _ = connection.stream().shutdown(Shutdown::Both);
+    }
+
+    fn unusable(&self, connection: &Connection, id: u32, why: &'static str) {
+        self.core.tally.end(End::Unusable);
+        connection.write_error(id, "Fault", Some(why));
+    }
+
+    /// A number that does not count up. Guards against two answers under one number, and against a client that
+    /// can't tell which request an answer is for: the one that is open under it is given up, and answered so.
+    fn misnumbered(&self, connection: &Connection, number: u32) {
+        if let Some(slot) = connection.close(number) {
+            self.core.leave(&slot);
+            connection.write_error(number, "Fault", Some("two requests under one number"));
+            connection.answered();
+        }
+        connection.end_when_answered();
     }
 
     fn call(&self, connection: &Arc<Connection>, call: Call, arrived: Instant) {
@@ -65,29 +112,36 @@
             let well = self.listed.load(Ordering::SeqCst) && !self.leaving.load(Ordering::SeqCst);
             return connection.write(&codec::well(id, well), arrived + SLOW);
         }
-        let Some(class) = self.classes.iter().position(|c| **c == *call.method) else {
-            return connection.write_error(id, "Fault", Some("no such class"));
+        let Some(class) = self.classes.iter().position(|c| *c.name == *call.method) else {
+            return self.unusable(connection, id, "no such class");
         };
+        let taken = &self.classes[class];
         let asked = match call.asked {
+            Ok(asked) if taken.keyed && asked.token.is_none() => Err("no idempotency key"),
+            asked => asked,
+        };
+        let asked = match asked {
             Ok(asked) => asked,
-            Err(why) => return connection.write_error(id, "Fault", Some(why)),
+            Err(why) => return self.unusable(connection, id, why),
         };
-        let budget = (asked.wait_ms as Time).saturating_mul(1000);
+        let budget = ((asked.wait_ms * 1000.0) as Time).min(taken.longest);
         let deadline = arrived + span(budget);
         let slot = self.core.slot();
-        match connection.open(id, &slot) {
+        // Guards against one client's flood taking all places for requests: the last are for those under their share.
+        let most = self.core.share(connection.place.among()).map_or(OPEN, |share| share.min(OPEN));
+        match connection.open(id, &slot, most) {
             Opened::Yes => {}
             Opened::Full => {
+                self.core.tally.end(End::Shed);
                 return connection.write(&codec::shed(id, self.core.shed_wait), deadline + SLOW);
             }
-            Opened::Twice => return,
+            Opened::Ending => return,
         }
         let inquiry = Inquiry {
             via: asked.via,
             class,
-            class_name: self.classes[class].clone(),
+            class_name: taken.name.clone(),
             object: asked.object,
-            object_text: asked.object_text,
             part: asked.part,
             group: asked.group,
             size_kb: asked.size_kb,
@@ -105,11 +159,12 @@
 enum Opened {
     Yes,
     Full,
-    Twice,
+    /// The connection was told to make way for another.
+    Ending,
 }
 
 struct Connection {
-    stream: TcpStream,
+    place: Place,
     open: Mutex<Calls>,
     writing: Mutex<()>,
 }
@@ -117,28 +172,34 @@
 #[derive(Default)]
 struct Calls {
     slots: HashMap<u32, Arc<Slot>>,
-    /// Ends with its last open call.
+    /// Calls whose answers are not written yet, nor forgotten.
+    owed: usize,
+    /// Ends when nothing is owed any more.
     ending: bool,
 }
 
 impl Connection {
-    fn new(stream: TcpStream) -> Connection {
-        Connection { stream, open: Mutex::default(), writing: Mutex::default() }
+    fn new(place: Place) -> Connection {
+        Connection { place, open: Mutex::default(), writing: Mutex::default() }
+    }
+
+    fn stream(&self) -> &TcpStream {
+        &self.place.stream
     }
 
     fn calls(&self) -> MutexGuard<'_, Calls> {
         self.open.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn open(&self, id: u32, slot: &Arc<Slot>) -> Opened {
+    fn open(&self, id: u32, slot: &Arc<Slot>, most: usize) -> Opened {
         let mut calls = self.calls();
-        if calls.slots.contains_key(&id) {
-            // Guards against two answers with one id: the first call's will do.
-            return Opened::Twice;
-        }
-        if calls.slots.len() >= OPEN {
+        if calls.slots.len() >= most {
             return Opened::Full;
         }
+        if calls.owed == 0 && !self.place.busy() {
+            return Opened::Ending;
+        }
+        calls.owed += 1;
         calls.slots.insert(id, slot.clone());
         Opened::Yes
     }
@@ -153,21 +214,25 @@
     }
 
     fn idle(&self) -> bool {
-        self.calls().slots.is_empty()
+        self.calls().owed == 0
     }
 
     fn end_when_answered(&self) {
         let mut calls = self.calls();
         calls.ending = true;
-        let how = if calls.slots.is_empty() { Shutdown::Both } else { Shutdown::Read };
-        let _ = self.stream.shutdown(how);
+        let how = if calls.owed == 0 { Shutdown::Both } else { Shutdown::Read };
+        let _ = self.stream().shutdown(how);
     }
 
-    /// After an answer: a connection that was to end with its last one ends.
+    /// After an answer, or word that none is wanted: a connection that was to end with its last one ends.
     fn answered(&self) {
-        let calls = self.calls();
-        if calls.ending && calls.slots.is_empty() {
-            let _ = self.stream.shutdown(Shutdown::Both);
+        let mut calls = self.calls();
+        calls.owed -= 1;
+        if calls.owed == 0 {
+            self.place.idle();
+            if calls.ending {
+                let _ = self.stream().shutdown(Shutdown::Both);
+            }
         }
     }
 
@@ -182,12 +247,12 @@
         let mut left = message;
         while !left.is_empty() {
             let time = until.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
-            let wrote = self.stream.set_write_timeout(Some(time)).and_then(|()| (&self.stream).write(left));
+            let wrote = self.stream().set_write_timeout(Some(time)).and_then(|()| self.stream().write(left));
             match wrote {
                 Ok(n) if n > 0 => left = &left[n..],
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 _ => {
-                    let _ = self.stream.shutdown(Shutdown::Both);
+                    let _ = self.stream().shutdown(Shutdown::Both);
                     return;
                 }
             }
@@ -195,19 +260,48 @@
     }
 }
 
-/// Reads from a connection, and ends it where it has been idle too long.
-struct Patient(Arc<Connection>);
+/// Reads from a connection. Guards against one that says nothing, or sends half a message, keeping its place.
+struct Patient {
+    connection: Arc<Connection>,
+    /// The message has begun.
+    begun: bool,
+    until: Instant,
+    /// It did not come whole in time.
+    late: bool,
+}
+
+impl Patient {
+    fn new(connection: Arc<Connection>) -> Patient {
+        Patient { connection, begun: false, until: Instant::now(), late: false }
+    }
+
+    /// A message is waited for; some of it may be here already.
+    fn next(&mut self, begun: bool, asked: bool) {
+        self.begun = begun;
+        self.until = Instant::now() + if begun || !asked { HALF } else { IDLE };
+    }
+}
 
 impl Read for Patient {
     fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
         loop {
-            self.0.stream.set_read_timeout(Some(IDLE))?;
-            match (&self.0.stream).read(buffer) {
+            let now = Instant::now();
+            if now >= self.until {
+                if !self.begun && !self.connection.idle() {
+                    self.until = now + IDLE;
+                    continue;
+                }
+                self.late = true;
+                return Err(ErrorKind::TimedOut.into());
+            }
+            let mut stream = self.connection.stream();
+            stream.set_read_timeout(Some(self.until - now))?;
+            match stream.read(buffer) {
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
-                    if self.0.idle() {
-                        return Ok(0);
-                    }
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+                Ok(n) if n > 0 && !self.begun => {
+                    (self.begun, self.until) = (true, Instant::now() + HALF);
+                    return Ok(n);
                 }
                 read => return read,
             }
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fronts;
 pub mod http;
 pub mod journal;
+pub mod places;
 pub mod server;
 pub mod tally;
 pub mod upstream;
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -7,17 +7,18 @@
 use crate::core::members::Members;
 use crate::core::{Core, Desk};
 use crate::fronts::dns::server::Bound;
-use crate::fronts::msgpack::Front;
+use crate::fronts::msgpack::{Front, Taken};
 use crate::journal::{Journal, Names, Service};
+use crate::places::{Place, Places};
 use crate::upstream::{pool::Pool, Upstream};
-use foldmux::interface::Time;
+use foldmux::interface::{Class, Repeat, Time};
 use foldmux::Router;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::io;
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpListener;
 use std::path::Path;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
@@ -44,6 +45,12 @@
     let pool = Pool::new(bounds.upstream, span(decoded.keep_alive));
     let shed_wait = decoded.settings.retry_after.map_or(0, |longest| SHED_WAIT.min(longest));
     let cold_for = decoded.settings.cache_cold_for.max(decoded.settings.parent_cold_for);
+    let classes: Vec<Arc<str>> = decoded.classes.iter().map(|c| c.as_str().into()).collect();
+    let served = |(name, class): (&Arc<str>, &Class)| {
+        let keyed = matches!(class.repeat, Repeat::Keyed(_));
+        Taken { name: name.clone(), keyed, longest: class.deadline }
+    };
+    let taken: Vec<Taken> = classes.iter().zip(&decoded.settings.classes).map(served).collect();
     let writes: Vec<bool> = decoded.settings.classes.iter().map(|c| c.pass_on).collect();
     let router = Router::new(decoded.settings, config.seed);
     let (mut desk, handle) = Desk::new(router, clock.clone(), members.clone(), pool.clone());
@@ -55,7 +62,6 @@
     };
     let buffers = Buffers::new(bounds.buffers);
     let core = Core::new(handle.clone(), buffers, upstream, shed_wait, cold_for, bounds.open);
-    let classes: Vec<Arc<str>> = decoded.classes.iter().map(|c| c.as_str().into()).collect();
     if let Some(mut dns) = dns {
         let serial = dns.notify(&mut desk)?;
         let classes = classes.iter().cloned().zip(writes).collect();
@@ -81,9 +87,10 @@
         TcpListener::bind(config.listen).map_err(|e| format!("listening on {}: {e}", config.listen))?;
     let on = listener.local_addr().map_err(|e| e.to_string())?;
     let leaving = Arc::new(AtomicBool::new(false));
-    let front = Arc::new(Front { core: core.clone(), classes, listed, leaving: leaving.clone() });
-    let serve = move |stream| front.serve(stream);
-    named("accept", READER_STACK, move || accept(&listener, bounds.clients, READER_STACK, Arc::new(serve)))?;
+    let front = Arc::new(Front { core: core.clone(), classes: taken, listed, leaving: leaving.clone() });
+    let serve = move |place| front.serve(place);
+    let places = Places::new(bounds.clients);
+    named("accept", READER_STACK, move || accept(&listener, &places, READER_STACK, Arc::new(serve)))?;
     eprintln!("{} serves on {on}", config.name);
 
     let told = core.clone();
@@ -134,26 +141,19 @@
     thread.spawn(body).map_err(|e| format!("thread {name}: {e}"))
 }
 
-/// Takes connections, each to a thread of its own, up to a bound; those beyond it are closed at once.
+/// Takes connections, each to a thread of its own, while there are places; those beyond are closed at once.
 pub fn accept(
     listener: &TcpListener,
-    most: usize,
+    places: &Arc<Places>,
     stack: usize,
-    serve: Arc<dyn Fn(TcpStream) + Send + Sync>,
+    serve: Arc<dyn Fn(Place) + Send + Sync>,
 ) {
-    let held = Arc::new(AtomicUsize::new(0));
     loop {
         match listener.accept() {
             Ok((stream, _)) => {
-                if held.fetch_add(1, Ordering::SeqCst) >= most {
-                    held.fetch_sub(1, Ordering::SeqCst);
-                    continue;
-                }
-                let (held_too, serve) = (Held(held.clone()), serve.clone());
-                let spawned = named("connection", stack, move || {
-                    let _held = held_too;
-                    serve(stream);
-                });
+                let Some(place) = places.take(stream) else { continue };
+                let serve = serve.clone();
+                let spawned = named("connection", stack, move || serve(place));
                 spawned.err().iter().for_each(|e| eprintln!("{e}"));
             }
             Err(e) => thread::sleep(pause(&e)),
@@ -161,15 +161,6 @@
     }
 }
 
-/// One connection's place, given back however its thread ends, also where it never started.
-struct Held(Arc<AtomicUsize>);
-
-impl Drop for Held {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
-    }
-}
-
 /// How long to leave the listener alone after an error. A connection that ended while it waited is no reason
 /// to wait. Guards against spinning where there are no descriptors: the error stays until one is given back.
 fn pause(error: &io::Error) -> Duration {
--- a/proxy/src/tally.rs
+++ b/proxy/src/tally.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 /// What is counted. The outcomes of attempts come first, in the order in which the module knows them.
-const NAMES: [&str; 14] = [
+const NAMES: [&str; 15] = [
     "ok",
     "error",
     "full",
@@ -19,6 +19,7 @@
     "refused",
     "shed",
     "failed",
+    "unusable",
 ];
 
 /// How a request ended, from the client's side.
@@ -31,6 +32,8 @@
     /// By the core, before the module heard of it.
     Shed,
     Failed,
+    /// The front could not use what the client sent.
+    Unusable,
 }
 
 #[derive(Default)]
--- a/proxy/src/upstream/mod.rs
+++ b/proxy/src/upstream/mod.rs
@@ -105,14 +105,14 @@
         if wait == 0 {
             return None;
         }
-        let Inquiry { via, class_name, object_text, part, .. } = inquiry;
+        let Inquiry { via, class_name, object, part, .. } = inquiry;
         // Also where there is a body: the caches know no other method.
-        let mut head = format!("GET /v2/q/{class_name}/{object_text}/{part} HTTP/1.1\r\n");
+        let mut head = format!("GET /v2/q/{class_name}/{object:016x}/{part} HTTP/1.1\r\n");
         let mut field = |name: &str, value: &dyn std::fmt::Display| {
             let _ = write!(head, "{name}: {value}\r\n");
         };
         field("Host", &cache.address);
-        field("Via-Id", via);
+        field("Via-Id", &format_args!("{via:016x}"));
         field("Via-Wait", &wait);
         inquiry.token.iter().for_each(|token| field("Via-Token", token));
         source.iter().for_each(|source| field("X-Fill-From", source));
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -105,10 +105,10 @@
     for line in script.lines().filter(|l| !l.is_empty()) {
         let words: Vec<&str> = line.splitn(4, ' ').collect();
         let told = match words[..] {
-            ["client", name, ">", bytes] => {
+            ["client", name, ">", ref rest @ ..] => {
                 let open = || BufReader::new(connected(TcpStream::connect(address).unwrap()));
                 let client = clients.entry(name.to_string()).or_insert_with(open);
-                client.get_mut().write_all(&unescape(bytes)).unwrap();
+                client.get_mut().write_all(&unescape(rest.first().unwrap_or(&""))).unwrap();
                 String::new()
             }
             ["client", name, "<"] => message(clients.get_mut(name).unwrap()),
@@ -173,8 +173,12 @@
     stream
 }
 
+/// The next connection; a program that makes none fails the test.
 fn accept(listener: &TcpListener) -> BufReader<TcpStream> {
-    BufReader::new(connected(listener.accept().unwrap().0))
+    let (told, heard) = channel();
+    let listener = listener.try_clone().unwrap();
+    std::thread::spawn(move || drop(told.send(listener.accept())));
+    BufReader::new(connected(heard.recv_timeout(PATIENCE).expect("a connection").unwrap().0))
 }
 
 /// The end of a connection: the program sent nothing more, and closed.
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -843,8 +843,8 @@
         let late = served && extra > LATE * attempt.patience;
         let timed_out = outcome == Outcome::TimedOut;
         if attempt.deep {
-            // Past the wanted time, no sooner: guards against taking a far parent, whose fills need most of it in
-            // the calmest hour, for a crowded one. Such a limit never opens: what is refused is never kept.
+            // Past the wanted time, no sooner: guards against taking a far parent, whose fills need most of
+            // it in the calmest hour, for a crowded one: what is refused is never kept, and the limit stays.
             let over = timed_out || extra > attempt.patience;
             self.deep.ended((timed_out || (served && !hit)).then_some(over));
             // Answers that are lost where nothing is filled are lost here too, and say nothing of the origin.
