--- a/src/brain.rs
+++ b/src/brain.rs
@@ -48,6 +48,8 @@
 const ASKED_BEARABLE: f64 = 0.33;
 /// Further attempts earned by each request, and the most saved up: retries can't double a load.
 const RETRY: (f64, f64) = (0.25, 30.0);
+/// A request that so many caches answer with an error is at fault itself.
+const ERRORS_MOST: usize = 2;
 /// A cache is full from this multiple of the transfers that it carries at full pace.
 const SPILL_AT: f64 = 1.3;
 /// A route's open share: the cut on a failed or late use, the gain with each request that wants it (a seventh
@@ -184,6 +186,8 @@
     started: bool,
     /// Caches and sources that failed this request.
     tried: Vec<CacheId>,
+    /// Those that answered with an error.
+    erred: Vec<CacheId>,
     /// The first attempt that may have run: when it was sent, and where to.
     may_have_run: Option<(Time, CacheId)>,
 }
@@ -772,10 +776,20 @@
         let Report { id, attempt: number, outcome, note, elapsed, last } = report;
         let Some(attempt) = self.attempts.remove(&(id, number)) else { return };
         self.learn(now, &attempt, outcome, note, elapsed);
+        if outcome == Outcome::Served {
+            // Guards against blaming caches for what none can serve, such as a bad client's objects: an error
+            // counts once the same request was served.
+            let erred = self.requests.get_mut(&id).map(|r| std::mem::take(&mut r.erred)).unwrap_or_default();
+            erred.into_iter().for_each(|cache| self.blame(now, cache));
+        }
         if last || outcome == Outcome::Served {
             return self.close(id, out);
         }
         let Some(request) = self.requests.get_mut(&id) else { return };
+        if outcome == Outcome::Error && !note.source_fault() {
+            request.erred.push(attempt.plan.cache);
+        }
+        let hopeless = request.erred.len() >= ERRORS_MOST;
         if !outcome.never_ran() && request.may_have_run.is_none() {
             request.may_have_run = Some((attempt.sent, attempt.plan.cache));
         }
@@ -790,7 +804,7 @@
         if self.attempts.range((id, 0)..=(id, u8::MAX)).next().is_some() {
             return;
         }
-        if above_lacks || (note == Note::OriginFailed && safe) {
+        if above_lacks || hopeless || (note == Note::OriginFailed && safe) {
             return self.give_up(id, out);
         }
         if outcome != Outcome::Miss {
@@ -805,6 +819,13 @@
         self.try_next(now, id, out);
     }
 
+    fn blame(&mut self, now: Time, cache: CacheId) {
+        let tier = self.tier_of(cache);
+        if let Some(server) = self.servers.get_mut(&cache) {
+            server.note(now, true, false, &mut self.like[tier]);
+        }
+    }
+
     /// Health, latency, capacity, the query's record and the summary, all from one outcome.
     fn learn(&mut self, now: Time, attempt: &Attempt, outcome: Outcome, note: Note, elapsed: Time) {
         let extra = (elapsed as f64 - attempt.work).max(0.0);
@@ -833,7 +854,6 @@
                 Outcome::ConnectFailed => server.note(now, true, true, like),
                 Outcome::TimedOut if attempt.plan.query => {}
                 Outcome::Reset | Outcome::TimedOut => server.note(now, true, false, like),
-                Outcome::Error if !note.source_fault() => server.note(now, true, false, like),
                 // Full is load and no illness: shunned, its objects would be filled again elsewhere.
                 _ => {}
             }
@@ -859,7 +879,7 @@
             // What is held comes late too: the links are crowded, and fills would crowd them more.
             self.routes[0].cut();
         }
-        let lost = matches!(outcome, Outcome::Full | Outcome::TimedOut | Outcome::Error);
+        let lost = matches!(outcome, Outcome::Full | Outcome::TimedOut) || note == Note::OriginFailed;
         if ((late && from_source) || lost) && filling && !attempt.plan.query {
             // A parent's own copy that comes late, or no fill place, speaks of the link; else of the origin.
             let filled = note == Note::Filled && self.settings.notes == Notes::All;
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -225,6 +225,44 @@
     assert!(sources.contains(&CacheId(30)), "still asked: {sources:?}");
 }
 
+#[test]
+fn what_no_cache_can_serve_ends_after_two_errors_and_has_no_cache_shunned() {
+    let untold = Settings { notes: Notes::None, ..settings() };
+    let mut front = Front::new(untold.clone(), members());
+    let home = only_fetch(&front.request(0, 1).1).cache;
+    for object in 1_000..1_100 {
+        front.now += 20 * MS;
+        let (id, mut actions) = front.request(0, object);
+        if only_fetch(&actions).cache != home {
+            front.event(Event::ClientGone { id });
+            continue;
+        }
+        // A bad client's object: an error, whoever is asked.
+        let mut attempts = 0;
+        while let Some(fetch) = fetches(&actions).first() {
+            actions = front.outcome(fetch, attempts, Outcome::Error, Note::Untold);
+            attempts += 1;
+        }
+        assert!(attempts == 2 && matches!(actions[..], [Action::Refuse { .. }]), "{attempts}: {actions:?}");
+    }
+    let used = (5_000..5_050).filter(|&k| only_fetch(&front.request(0, k).1).cache == home).count();
+    assert!(used > 5, "{used} of 50 still go to the cache that was asked");
+
+    // One cache errs where others serve: that is its own fault.
+    let mut front = Front::new(untold, members());
+    let sick = only_fetch(&front.request(0, 1).1).cache;
+    for object in 1_000..1_100 {
+        front.now += 5 * MS;
+        let fetch = only_fetch(&front.request(0, object).1);
+        let own = if fetch.cache == sick { Outcome::Error } else { Outcome::Served };
+        for again in fetches(&front.outcome(&fetch, 0, own, Note::Untold)) {
+            front.outcome(&again, 1, Outcome::Served, Note::Untold);
+        }
+    }
+    let used = (5_000..5_050).filter(|&k| only_fetch(&front.request(0, k).1).cache == sick).count();
+    assert!(used <= 1, "{used} of 50 still go to the cache that errs");
+}
+
 #[test]
 fn a_full_answer_without_notes_has_one_other_source_tried() {
     let mut front = Front::new(Settings { notes: Notes::None, ..settings() }, members());
