--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,6 +30,12 @@
 const SHUN: Time = 1_000_000;
 /// An attempt is called off after so many times the wait that is in time; what is left is worth little.
 const OVERDUE: Time = 2;
+/// A source that refuses counts as one that is so slow (us); the slowest parent that a quicker origin is not
+/// asked instead of.
+const REFUSED_AS: f64 = 2_000_000.0;
+const SLOW: f64 = 400_000.0;
+/// A latency that was not heard again for so long (us) says nothing any more.
+const HEARD: Time = 2_000_000;
 /// Latency of a fill while nothing has been heard (us).
 const LATENCY_START: f64 = 60_000.0;
 /// One try's gain or loss counts for no more than this (us): one hung sibling must not close the gate.
@@ -77,8 +83,9 @@
     filling: u32,
     fail: f64,
     shun_until: Time,
-    /// Smoothed fill latency beyond the sending time (us).
+    /// Smoothed fill latency beyond the sending time (us), and when it was last heard.
     latency: Option<f64>,
+    heard: Time,
     /// Transfers that it carries at full pace, as far as this front can tell.
     capacity: Option<f64>,
     /// What was sent within the fall window (time, us of sending).
@@ -90,6 +97,10 @@
         self.member.state == State::Ready
     }
 
+    fn heard_latency(&self, now: Time) -> Option<f64> {
+        self.latency.filter(|_| now < self.heard + HEARD)
+    }
+
     fn note_sent(&mut self, now: Time, weight: f64, window: Time) {
         self.window.push_back((now, weight));
         while self.window.front().is_some_and(|w| w.0 + window < now) {
@@ -596,14 +607,20 @@
         let fit = |c: &&CacheId| self.healthy(now, &self.servers[c]) && !request.tried.contains(c);
         let mut parents: Vec<CacheId> = self.tiers[2].iter().filter(room).filter(fit).copied().collect();
         parents.sort_by_key(|&c| (score(request.key, c), c));
-        let latency = |c: &CacheId| self.servers[c].latency.unwrap_or(self.parent_latency());
+        // Guards against one slow spell leaving a parent out for good: what was not heard of lately is average.
+        let average = self.parent_latency(now);
+        let latency = |c: &CacheId| self.servers[c].heard_latency(now).unwrap_or(average);
         let drawn = parents.iter().take(2).min_by(|a, b| latency(a).total_cmp(&latency(b)));
-        drawn.or_else(|| self.tiers[3].iter().chain(&self.tiers[2]).find(room)).copied()
+        // Guards against a parent that refuses, or is crowded, being asked for all because it is the one left.
+        let quick = |c: &&CacheId| self.servers[c].heard_latency(now).is_none_or(|l| l < SLOW);
+        let origin = || self.tiers[3].iter().filter(room).find(quick);
+        let above = drawn.filter(quick).or_else(origin).or(drawn);
+        above.or_else(|| self.tiers[3].iter().chain(&self.tiers[2]).find(room)).copied()
     }
 
-    fn parent_latency(&self) -> f64 {
+    fn parent_latency(&self, now: Time) -> f64 {
         let above = self.tiers[2].iter().chain(&self.tiers[3]);
-        let latencies = above.filter_map(|c| self.servers[c].latency);
+        let latencies = above.filter_map(|c| self.servers[c].heard_latency(now));
         let (sum, heard) = latencies.fold((0.0, 0.0), |(a, n), l| (a + l, n + 1.0));
         if heard == 0.0 {
             LATENCY_START
@@ -632,7 +649,7 @@
             return None;
         }
         let left = request.aim_at.min(request.deadline).saturating_sub(now) as f64;
-        let above = self.parent_latency();
+        let above = self.parent_latency(now);
         let time = left - above - STRETCH * request.work;
         if time < STRETCH * request.work + above || self.retries < 1.0 {
             return None;
@@ -892,19 +909,25 @@
         let source = self.servers.get_mut(&attempt.plan.source).filter(|_| filling);
         if let Some(server) = source {
             server.filling = server.filling.saturating_sub(asked as u32);
+            // Where nothing is told, a refusal may be the cache's own: then it falls to all sources alike.
+            let refused = asked && untold && outcome == Outcome::Full;
+            if from_source || refused {
+                let latency = server.heard_latency(now).unwrap_or(extra);
+                let sample = if refused { REFUSED_AS } else { extra };
+                server.latency = Some(latency + SMOOTH * (sample - latency));
+                server.heard = now;
+            }
             if from_source {
                 if above == 2 {
                     self.served[1].add(now, attempt.weight);
                 }
                 server.note(now, false, false, &mut self.like[above]);
-                let latency = server.latency.unwrap_or(extra);
-                server.latency = Some(latency + SMOOTH * (extra - latency));
             } else if blamed {
                 server.note(now, true, false, &mut self.like[above]);
             }
         }
         if attempt.plan.query && (from_source || failed || matches!(outcome, Outcome::Full | Outcome::Miss)) {
-            let gain = if from_source { self.parent_latency() - extra } else { -(elapsed as f64) };
+            let gain = if from_source { self.parent_latency(now) - extra } else { -(elapsed as f64) };
             self.query_gain += SMOOTH * (gain.clamp(-QUERY_CLIP, QUERY_CLIP) - self.query_gain);
         }
         let cache = attempt.plan.cache;
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -273,3 +273,37 @@
     let end = front.outcome(&second, 1, Outcome::Full, Note::Untold);
     assert!(fetches(&end).is_empty() && finals(&end) == 1, "the second full answer ends the try");
 }
+
+#[test]
+fn a_parent_that_refuses_is_left_for_the_other_then_for_the_origin_and_asked_again_later() {
+    let lone = Settings { siblings: Siblings::None, notes: Notes::None, ..settings() };
+    let mut front = Front::new(lone, members());
+    // Asks for so many new objects; which sources refuse, however quickly. How often each is asked first.
+    let mut ask = |objects: std::ops::Range<u64>, refusing: &[u32], wait: Time| {
+        let mut asked = std::collections::BTreeMap::new();
+        for object in objects {
+            front.now += wait;
+            let mut actions = front.request(0, object).1;
+            *asked.entry(only_fetch(&actions).source.0).or_insert(0) += 1;
+            for attempt in 0..8 {
+                let Some(fetch) = fetches(&actions).first().cloned() else { break };
+                let refused = refusing.contains(&fetch.source.0);
+                let outcome = if refused { Outcome::Full } else { Outcome::Served };
+                let elapsed = if refused { 5 * MS } else { 110 * MS };
+                actions = front.outcome_after(&fetch, attempt, outcome, Note::Untold, elapsed);
+            }
+        }
+        asked
+    };
+    ask(1_000..1_060, &[], 20 * MS);
+    ask(2_000..2_060, &[30], 20 * MS);
+    let one = ask(3_000..3_060, &[30], 20 * MS);
+    assert!(one.get(&30).is_none_or(|n| *n <= 6) && one[&31] >= 45, "{one:?}");
+    ask(4_000..4_300, &[], 20 * MS);
+    ask(5_000..5_015, &[30, 31], 20 * MS);
+    let both = ask(6_000..6_015, &[30, 31], 20 * MS);
+    assert!(both.get(&40).is_some_and(|n| *n >= 8), "{both:?}");
+    // A spell ago says nothing: with no word for a while both are average, and each has its objects again.
+    let later = ask(7_000..7_060, &[], 3 * SECOND);
+    assert!(later[&30] >= 10 && later[&31] >= 10, "{later:?}");
+}
