Add the pure hierarchy crate, the operator's script and a crate for HTTP/1.1

Need: the fill tree is a constant today, read once at the start; nothing says whether a new tree may be taken, who shields an object, or who waits for whom.

Circles of fills that wait for each other are ruled out by lanes: a fill waits for fetches of its own epoch only; past two epochs it is solo, waits for none, and anyone may wait for it (ledger.rs tells why).

The interpreter looks at its heap every 1,000 steps: one operation that makes one huge value is not caught.

--- a/http1/src/answer.rs
+++ b/http1/src/answer.rs
@@ -1,13 +1,13 @@
-//! The little HTTP/1.1 that a client needs: one answer read whole into one buffer, parsed by httparse.
+//! One answer read whole into one buffer, or its head alone.
 
-use std::io::{ErrorKind, Read};
+use crate::io::read_some;
 use std::net::TcpStream;
 use std::ops::Range;
 use std::time::Instant;
 
-const MOST_HEADERS: usize = 32;
+pub(crate) const MOST_HEADERS: usize = 32;
 /// Longest head: guards against one that never ends filling the buffer.
-const MOST_HEAD: usize = 16 * 1024;
+pub const MOST_HEAD: usize = 16 * 1024;
 /// Most interim answers (1xx) before the one that counts.
 const MOST_INTERIM: usize = 8;
 
@@ -31,30 +31,16 @@
     pub untouched: bool,
 }
 
-enum Length {
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Length {
     Known(usize),
     Chunked,
 }
 
 /// Reads one answer. The buffer bounds its length; the deadline bounds the whole, not each read.
 pub fn read_response(stream: &TcpStream, buffer: &mut [u8], deadline: Instant) -> Result<Response, Broken> {
-    let (mut filled, mut interim) = (0, 0);
-    let (mut response, length) = loop {
-        match parse_head(&buffer[..filled])? {
-            Some(Head::Final(response, length)) => break (response, length),
-            Some(Head::Interim(length)) if interim < MOST_INTERIM => {
-                interim += 1;
-                buffer.copy_within(length..filled, 0);
-                filled -= length;
-            }
-            None if filled < MOST_HEAD => {
-                if read_more(stream, buffer, &mut filled, deadline)? == 0 {
-                    return Err(Broken::Reset);
-                }
-            }
-            _ => return Err(Broken::Unreadable),
-        }
-    };
+    let mut filled = 0;
+    let (mut response, length) = read_head(stream, buffer, &mut filled, deadline, &mut |_, _| ())?;
     let start = response.body.start;
     match length {
         Length::Known(n) => {
@@ -111,6 +97,35 @@
     Ok(response)
 }
 
+/// Reads as far as the end of the head that counts; interim answers before it are passed over. What is behind it
+/// stands in the buffer up to `filled`, from where the answer's body begins. `field` is shown each other header,
+/// and may be shown those of a head more than once, as it is parsed anew with each piece that comes.
+pub fn read_head(
+    stream: &TcpStream,
+    buffer: &mut [u8],
+    filled: &mut usize,
+    deadline: Instant,
+    field: &mut dyn FnMut(&str, &[u8]),
+) -> Result<(Response, Length), Broken> {
+    let mut interim = 0;
+    loop {
+        match parse_head(&buffer[..*filled], field)? {
+            Some(Head::Final(response, length)) => return Ok((response, length)),
+            Some(Head::Interim(length)) if interim < MOST_INTERIM => {
+                interim += 1;
+                buffer.copy_within(length..*filled, 0);
+                *filled -= length;
+            }
+            None if *filled < MOST_HEAD => {
+                if read_more(stream, buffer, filled, deadline)? == 0 {
+                    return Err(Broken::Reset);
+                }
+            }
+            _ => return Err(Broken::Unreadable),
+        }
+    }
+}
+
 enum Head {
     /// Where the answer that counts begins.
     Interim(usize),
@@ -119,7 +134,7 @@
 
 /// The head, once it is whole. Guards against an answer that nothing proves whole: one without a length, which
 /// ends alike whether it was cut or not, and one whose lengths are several, signed, or at odds.
-fn parse_head(bytes: &[u8]) -> Result<Option<Head>, Broken> {
+fn parse_head(bytes: &[u8], field: &mut dyn FnMut(&str, &[u8])) -> Result<Option<Head>, Broken> {
     let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
     let mut head = httparse::Response::new(&mut headers);
     let start = match head.parse(bytes) {
@@ -151,6 +166,8 @@
             reusable &= !value.split(|b| *b == b',').any(|w| w.trim_ascii().eq_ignore_ascii_case(b"close"));
         } else if header.name.eq_ignore_ascii_case("srv-untouched") {
             untouched = value == b"1";
+        } else {
+            field(header.name, value);
         }
     }
     let length = match status {
@@ -169,22 +186,9 @@
     if *filled == buffer.len() {
         return Err(Broken::Unreadable);
     }
-    loop {
-        let left = deadline.saturating_duration_since(Instant::now());
-        if left.is_zero() {
-            return Err(Broken::TimedOut);
-        }
-        stream.set_read_timeout(Some(left)).map_err(|_| Broken::Reset)?;
-        match (&mut &*stream).read(&mut buffer[*filled..]) {
-            Ok(n) => {
-                *filled += n;
-                return Ok(n);
-            }
-            Err(e) if e.kind() == ErrorKind::Interrupted => {}
-            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
-            Err(_) => return Err(Broken::Reset),
-        }
-    }
+    let n = read_some(stream, &mut buffer[*filled..], deadline)?;
+    *filled += n;
+    Ok(n)
 }
 
 #[cfg(test)]
--- /dev/null
+++ b/http1/src/io.rs
@@ -0,0 +1,45 @@
+//! Reading and writing on a blocking socket until a moment, which bounds the whole and not each call.
+
+use crate::answer::Broken;
+use std::io::{ErrorKind, Read, Write};
+use std::net::TcpStream;
+use std::time::Instant;
+
+/// Some bytes; 0 is the end.
+pub fn read_some(stream: &TcpStream, buffer: &mut [u8], deadline: Instant) -> Result<usize, Broken> {
+    loop {
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(Broken::TimedOut);
+        }
+        stream.set_read_timeout(Some(left)).map_err(|_| Broken::Reset)?;
+        match (&mut &*stream).read(buffer) {
+            Ok(n) => return Ok(n),
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+            Err(_) => return Err(Broken::Reset),
+        }
+    }
+}
+
+/// All parts, one after the other.
+pub fn write_all(stream: &TcpStream, parts: &[&[u8]], until: Instant) -> Result<(), Broken> {
+    for part in parts {
+        let mut left = *part;
+        while !left.is_empty() {
+            let time = until.saturating_duration_since(Instant::now());
+            if time.is_zero() {
+                return Err(Broken::TimedOut);
+            }
+            stream.set_write_timeout(Some(time)).map_err(|_| Broken::Reset)?;
+            match (&mut &*stream).write(left) {
+                Ok(0) => return Err(Broken::Reset),
+                Ok(n) => left = &left[n..],
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
+                Err(_) => return Err(Broken::Reset),
+            }
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/operator/src/values.rs
@@ -0,0 +1,131 @@
+//! What an operator's file can set, as checked values. A part that the file does not name is off.
+
+use foldmux_hierarchy::cold::Rule;
+use foldmux_hierarchy::tree::{Kind, Tree};
+use garde::Validate;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+#[derive(Clone, Debug, Default)]
+pub struct Operator {
+    pub hierarchy: Option<Hierarchy>,
+    pub relay: Option<Relay>,
+    pub dns: Option<Dns>,
+}
+
+/// The fill tree, with what a node needs to reach the others.
+#[derive(Clone, Debug)]
+pub struct Hierarchy {
+    pub tree: Tree,
+    /// Node ids in `CDN-Loop` are `NAME.DOMAIN`.
+    pub domain: String,
+    /// How long a fill may end as it began once another tree is in service.
+    pub overlap_ms: u64,
+    pub nodes: HashMap<Arc<str>, Place>,
+    /// What a hub that started lately may be given.
+    pub cold: Rule,
+}
+
+/// Where a node of the tree is, and what it can do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Place {
+    pub address: Option<SocketAddr>,
+    /// Fills that it answers a second at full pace; 0: not told, and never held back.
+    pub fills_per_s: f64,
+}
+
+/// A hub cache of our own: `foldmux hub`.
+#[derive(Clone, Debug, PartialEq, Validate)]
+#[garde(allow_unvalidated)]
+pub struct Relay {
+    /// Memory for copies.
+    #[garde(range(min = 1, max = 65_536))]
+    pub memory_mb: u64,
+    /// Connections of those who ask; each has a thread.
+    #[garde(range(min = 1, max = 65_536))]
+    pub connections: u64,
+    /// Fetches under way; each has a thread and a buffer.
+    #[garde(range(min = 1, max = 16_384))]
+    pub fetches: u64,
+    /// Those who wait for them.
+    #[garde(range(min = 1, max = 65_536))]
+    pub waits: u64,
+    /// A fetch that shows no progress for so long is given up for another source.
+    #[garde(range(min = 10, max = 60_000))]
+    pub lease_ms: u64,
+    /// Tries of one fetch, at all its sources together.
+    #[garde(range(min = 1, max = 16))]
+    pub attempts: u64,
+    /// How long somebody waits who does not say how long (`Via-Wait`), and the longest that is believed.
+    #[garde(range(min = 10, max = 600_000))]
+    pub wait_ms: u64,
+    /// Classes that run at the archive: passed on once, never collapsed, kept or sent a second way.
+    #[garde(length(max = 64))]
+    pub writes: Vec<String>,
+}
+
+impl Default for Relay {
+    fn default() -> Relay {
+        Relay {
+            memory_mb: 64,
+            connections: 512,
+            fetches: 256,
+            waits: 4_096,
+            lease_ms: 500,
+            attempts: 4,
+            wait_ms: 5_000,
+            writes: Vec::new(),
+        }
+    }
+}
+
+/// DNS request routing.
+#[derive(Clone, Debug, PartialEq, Validate)]
+#[garde(allow_unvalidated)]
+pub struct Dns {
+    #[garde(length(min = 1, max = 255))]
+    pub zone: String,
+    pub udp: Option<SocketAddr>,
+    pub tcp: Option<SocketAddr>,
+    #[garde(dive)]
+    pub tls: Option<Tls>,
+    #[garde(length(max = 256))]
+    pub notify: Vec<SocketAddr>,
+    #[garde(range(min = 0, max = 60_000))]
+    pub lease_ms: u64,
+    #[garde(range(min = 1, max = 60_000))]
+    pub patience_ms: u64,
+}
+
+/// DNS over TLS: files in PEM, and the SPIFFE IDs that may ask.
+#[derive(Clone, Debug, PartialEq, Validate)]
+#[garde(allow_unvalidated)]
+pub struct Tls {
+    pub listen: SocketAddr,
+    #[garde(length(min = 1))]
+    pub svid: String,
+    #[garde(length(min = 1))]
+    pub key: String,
+    #[garde(length(min = 1))]
+    pub bundle: String,
+    #[garde(length(min = 1, max = 256), inner(prefix("spiffe://")))]
+    pub allowed: Vec<String>,
+}
+
+impl Dns {
+    /// What no single value shows.
+    pub(crate) fn listens(&self) -> Result<(), String> {
+        if self.udp.is_none() && self.tcp.is_none() && self.tls.is_none() {
+            return Err("none of udp, tcp and tls is set".to_string());
+        }
+        Ok(())
+    }
+}
+
+impl Hierarchy {
+    /// The nodes of a kind, by name.
+    pub fn names(&self, kind: Kind) -> Vec<Arc<str>> {
+        self.tree.of_kind(kind).map(|(_, node)| node.name.clone()).collect()
+    }
+}
--- a/proxy/src/journal.rs
+++ b/proxy/src/journal.rs
@@ -4,9 +4,9 @@
 use crate::clock::Clock;
 use crate::core::desk::{DeskHandle, Notice};
 use crate::core::members::{cache_id, Listed};
-use crate::http::{read_response, Broken};
 use crate::upstream::pool::Pool;
 use foldmux::interface::{Member, ObjectId, State};
+use foldmux_http1::{read_response, Broken};
 use serde::Deserialize;
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpStream};
--- a/proxy/src/upstream/mod.rs
+++ b/proxy/src/upstream/mod.rs
@@ -6,12 +6,11 @@
 use crate::core::desk::Target;
 use crate::core::members::Members;
 use crate::core::request::{Inquiry, Slot};
-use crate::http::{read_response, Broken, Response};
 use foldmux::interface::{Fetch, Outcome, Time};
+use foldmux_http1::io::write_all;
+use foldmux_http1::{read_response, Broken, Response};
 use pool::Pool;
 use std::fmt::Write as _;
-use std::io::{ErrorKind, Write};
-use std::net::TcpStream;
 use std::ops::Range;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -172,27 +171,6 @@
     }
 }
 
-fn write_all(stream: &TcpStream, parts: &[&[u8]], until: Instant) -> Result<(), Broken> {
-    for part in parts {
-        let mut left = *part;
-        while !left.is_empty() {
-            let time = until.saturating_duration_since(Instant::now());
-            if time.is_zero() {
-                return Err(Broken::TimedOut);
-            }
-            stream.set_write_timeout(Some(time)).map_err(|_| Broken::Reset)?;
-            match (&mut &*stream).write(left) {
-                Ok(0) => return Err(Broken::Reset),
-                Ok(n) => left = &left[n..],
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
-                Err(_) => return Err(Broken::Reset),
-            }
-        }
-    }
-    Ok(())
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
