--- a/hierarchy/src/ledger.rs
+++ b/hierarchy/src/ledger.rs
@@ -274,6 +274,11 @@
         self.ends.peek().map(|Reverse((due, _))| *due)
     }
 
+    /// Until when somebody waits for a fetch.
+    pub fn until(&self, id: FetchId) -> Option<Time> {
+        self.fetches.get(&id).map(|f| f.until)
+    }
+
     /// The try that is under way for a fetch.
     pub fn attempt(&self, id: FetchId) -> Option<u32> {
         self.fetches.get(&id).map(|f| f.attempt)
