Make the wiring live at the edge proxy; one operator's script; hub, plan and logging

Need: hub_of was read once; the DNS front had a JSON file of its own and nothing else a form; logs were eprintln, which waits for whoever reads it.

--- a/hub/src/book.rs
+++ b/hub/src/book.rs
@@ -229,7 +229,8 @@
         source.health.hear(now, word);
         if matches!(word, Word::Unreached | Word::Failed) {
             // It may come back as a new start: until it says which, it counts as one.
-            (source.gate, source.since_ms) = (None, 0);
+            source.since_ms = 0;
+            source.gate.iter_mut().for_each(|gate| gate.learn(Start { at: now, ..gate.start() }));
         }
         let Some(since) = since_ms.filter(|since| *since != source.since_ms) else { return };
         source.since_ms = since;
@@ -237,7 +238,11 @@
         let paced = hierarchy.nodes.get(name).is_some_and(|place| place.fills_per_s > 0.0);
         let Some(ix) = tree.find(name).filter(|_| paced) else { return };
         let age = unix_ms.saturating_sub(since).saturating_mul(1_000);
-        source.gate = Some(gate(hierarchy, tree, wiring.me(tree), ix, now.saturating_sub(age).max(1)));
+        let told = gate(hierarchy, tree, wiring.me(tree), ix, now.saturating_sub(age).max(1));
+        match &mut source.gate {
+            Some(held) => held.learn(told.start()),
+            none => *none = Some(told),
+        }
     }
 
     /// A try failed: what is next for all who wait.
--- a/proxy/src/core/desk.rs
+++ b/proxy/src/core/desk.rs
@@ -39,6 +39,11 @@
         group: u32,
         ago: Time,
     },
+    /// The hierarchy's wiring, as it concerns this proxy.
+    Wired {
+        hubs: Vec<usize>,
+        hub_of: Vec<usize>,
+    },
 }
 
 /// What a request is told.
@@ -173,6 +178,7 @@
                 }
                 self.handle(Event::Members { full, members });
             }
+            Notice::Wired { hubs, hub_of } => self.handle(Event::Wired { hubs, hub_of }),
             Notice::Purged { object, group, ago } => self.handle(Event::Purged { object, group, ago }),
         }
     }
--- a/proxy/src/fronts/dns/notify.rs
+++ b/proxy/src/fronts/dns/notify.rs
@@ -53,7 +53,7 @@
             }
         }
         if !left.is_empty() && !self.bell_rang() {
-            eprintln!("NOTIFY {serial}: no answer from {left:?}");
+            tracing::warn!("NOTIFY {serial}: no answer from {left:?}");
         }
         left
     }
--- a/proxy/src/fronts/dns/server.rs
+++ b/proxy/src/fronts/dns/server.rs
@@ -2,18 +2,19 @@
 
 use super::notify::Notifier;
 use super::spiffe::{Files, Identity};
-use super::Dns;
+use super::Dns as Front;
 use crate::core::desk::Desk;
 use crate::core::Core;
 use crate::places::{Place, Places};
 use crate::server::{accept, named, READER_STACK};
 use crossbeam_channel::bounded;
 use foldmux::interface::Time;
+use foldmux_operator::Dns;
 use hickory_proto::rr::Name;
 use rustls::{ServerConnection, StreamOwned};
-use serde::Deserialize;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,85 +24,46 @@
 /// TLS needs more of a stack than plain reading.
 const TLS_STACK: usize = 256 * 1024;
 
-#[derive(Clone, Debug, Deserialize)]
-pub struct Setup {
-    zone: String,
-    udp: Option<SocketAddr>,
-    tcp: Option<SocketAddr>,
-    tls: Option<Tls>,
-    #[serde(default)]
-    notify: Vec<SocketAddr>,
-    #[serde(default = "lease_ms")]
-    lease_ms: u64,
-    #[serde(default = "patience_ms")]
-    patience_ms: u64,
-}
-
-#[derive(Clone, Debug, Deserialize)]
-struct Tls {
-    listen: SocketAddr,
-    #[serde(flatten)]
-    files: Files,
-    allowed: Vec<String>,
-}
-
-fn lease_ms() -> u64 {
-    2_000
-}
-
-fn patience_ms() -> u64 {
-    500
-}
-
-/// The operator's file, read and with all its listeners bound: what is wrong shows before anything serves.
+/// What the operator's file sets, with all its listeners bound: what is wrong shows before anything serves.
 pub struct Bound {
     zone: Name,
-    setup: Setup,
+    setup: Dns,
     udp: Option<UdpSocket>,
     tcp: Option<TcpListener>,
     tls: Option<(TcpListener, Identity)>,
     notify: Option<UdpSocket>,
 }
 
-impl Setup {
-    pub fn parse(mut bytes: Vec<u8>) -> Result<Setup, String> {
-        let setup: Setup = simd_json::serde::from_slice(&mut bytes).map_err(|e| format!("DNS front: {e}"))?;
-        setup.name()?;
-        if setup.udp.is_none() && setup.tcp.is_none() && setup.tls.is_none() {
-            return Err("DNS front: none of udp, tcp and tls is set".to_string());
-        }
-        Ok(setup)
-    }
-
-    fn name(&self) -> Result<Name, String> {
-        let mut name =
-            Name::from_ascii(&self.zone).map_err(|e| format!("DNS front: zone {:?}: {e}", self.zone))?;
-        name.set_fqdn(true);
-        Ok(name.to_lowercase())
-    }
+/// The zone's name, or why it is none.
+pub fn zone(text: &str) -> Result<Name, String> {
+    let mut name = Name::from_ascii(text).map_err(|e| format!("DNS front: zone {text:?}: {e}"))?;
+    name.set_fqdn(true);
+    Ok(name.to_lowercase())
+}
 
-    pub fn bind(self) -> Result<Bound, String> {
+impl Bound {
+    pub fn new(setup: Dns) -> Result<Bound, String> {
+        let zone = zone(&setup.zone)?;
         let no = |at: &SocketAddr, e: io::Error| format!("DNS front: listening on {at}: {e}");
         let listen = |at: &SocketAddr| TcpListener::bind(at).map_err(|e| no(at, e));
-        let udp = self.udp.map(|at| UdpSocket::bind(at).map_err(|e| no(&at, e))).transpose()?;
-        let tcp = self.tcp.as_ref().map(listen).transpose()?;
-        let tls = match &self.tls {
+        let udp = setup.udp.map(|at| UdpSocket::bind(at).map_err(|e| no(&at, e))).transpose()?;
+        let tcp = setup.tcp.as_ref().map(listen).transpose()?;
+        let tls = match &setup.tls {
             Some(tls) => {
-                let identity = Identity::load(tls.files.clone(), tls.allowed.clone());
+                let [svid, key, bundle] = [&tls.svid, &tls.key, &tls.bundle].map(PathBuf::from);
+                let identity = Identity::load(Files { svid, key, bundle }, tls.allowed.clone());
                 Some((listen(&tls.listen)?, identity.map_err(|e| format!("DNS front: {e}"))?))
             }
             None => None,
         };
-        let from = match self.notify.first() {
+        let from = match setup.notify.first() {
             Some(SocketAddr::V6(_)) => SocketAddr::from(([0u16; 8], 0)),
             _ => SocketAddr::from(([0, 0, 0, 0], 0)),
         };
         let notify = UdpSocket::bind(from).map_err(|e| no(&from, e))?;
-        Ok(Bound { zone: self.name()?, setup: self, udp, tcp, tls, notify: Some(notify) })
+        Ok(Bound { zone, setup, udp, tcp, tls, notify: Some(notify) })
     }
-}
 
-impl Bound {
     /// Where it listens: UDP, TCP, TLS.
     pub fn addresses(&self) -> [Option<SocketAddr>; 3] {
         let udp = self.udp.as_ref().and_then(|s| s.local_addr().ok());
@@ -136,7 +98,7 @@
     ) -> Result<(), String> {
         let us = |ms: u64| ms.saturating_mul(1000) as Time;
         let (lease, patience) = (us(self.setup.lease_ms), us(self.setup.patience_ms));
-        let dns = Arc::new(Dns { core, zone: self.zone, classes, lease, patience, serial });
+        let dns = Arc::new(Front { core, zone: self.zone, classes, lease, patience, serial });
         if let Some(socket) = self.udp {
             let dns = dns.clone();
             named("dns-udp", TLS_STACK, move || serve_udp(&dns, &socket))?;
@@ -156,7 +118,7 @@
     }
 }
 
-fn serve_udp(dns: &Dns, socket: &UdpSocket) {
+fn serve_udp(dns: &Front, socket: &UdpSocket) {
     let mut bytes = [0; 4096];
     loop {
         match socket.recv_from(&mut bytes) {
@@ -177,12 +139,12 @@
     stream.set_write_timeout(Some(IDLE))
 }
 
-fn serve_tcp(dns: &Dns, place: &Place) -> io::Result<()> {
+fn serve_tcp(dns: &Front, place: &Place) -> io::Result<()> {
     prepared(&place.stream)?;
     talk(dns, place, &*place.stream)
 }
 
-fn serve_tls(dns: &Dns, identity: &Identity, place: &Place) -> io::Result<()> {
+fn serve_tls(dns: &Front, identity: &Identity, place: &Place) -> io::Result<()> {
     let stream = &*place.stream;
     prepared(stream)?;
     let connection = ServerConnection::new(identity.current()).map_err(io::Error::other)?;
@@ -199,7 +161,7 @@
 }
 
 /// Messages with their length before them, one answered after the other (RFC 7766).
-fn talk(dns: &Dns, place: &Place, mut stream: impl Read + Write) -> io::Result<()> {
+fn talk(dns: &Front, place: &Place, mut stream: impl Read + Write) -> io::Result<()> {
     let mut bytes = vec![0; 4096];
     loop {
         let mut length = [0; 2];
--- a/proxy/src/fronts/dns/spiffe.rs
+++ b/proxy/src/fronts/dns/spiffe.rs
@@ -12,7 +12,7 @@
 use x509_parser::extensions::GeneralName;
 use x509_parser::prelude::{FromDer, X509Certificate};
 
-#[derive(Clone, Debug, serde::Deserialize)]
+#[derive(Clone, Debug)]
 pub struct Files {
     pub svid: PathBuf,
     pub key: PathBuf,
@@ -45,7 +45,7 @@
         if stamp != held.0 {
             match self.files.read() {
                 Ok(config) => *held = (stamp, config),
-                Err(why) => eprintln!("SVID or bundle: {why}; the former ones serve on"),
+                Err(why) => tracing::warn!("SVID or bundle: {why}; the former ones serve on"),
             }
         }
         held.1.clone()
--- a/proxy/src/journal.rs
+++ b/proxy/src/journal.rs
@@ -132,7 +132,7 @@
                     notices.push(Notice::Purged { object: Some(object), group: 0, ago });
                 }
                 (None, Some(group)) => notices.push(Notice::Purged { object: None, group: *group, ago }),
-                _ => eprintln!("journal service: event {} names nothing that can be purged", entry.pos),
+                _ => tracing::warn!("journal service: event {} names nothing that can be purged", entry.pos),
             }
         }
         notices
@@ -153,7 +153,7 @@
         let (zone, kind) = (zone.or(gone.then_some(0)), kind.or(gone.then_some(0)));
         let (Some(zone), Some(kind), Some(address)) = (zone, kind, line.address.or(gone.then_some(nowhere)))
         else {
-            eprintln!("journal service: {} has an unknown zone or type, or no address", line.name);
+            tracing::warn!("journal service: {} has an unknown zone or type, or no address", line.name);
             return None;
         };
         let (cache, boot) = (cache_id(&line.name), self.clock.of_unix_ms(line.since_ms));
@@ -172,7 +172,7 @@
                 // What ended with the move to another address is no news of the service.
                 Err(_) if service.pause(moves, Duration::ZERO) => backoff = BACKOFF.0,
                 Err(why) => {
-                    eprintln!("journal service: {why}; asking again in {backoff:?}");
+                    tracing::warn!("journal service: {why}; asking again in {backoff:?}");
                     service.hang_up();
                     service.pause(moves, backoff);
                     backoff = (backoff * 2).min(BACKOFF.1);
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -1,91 +1,200 @@
-//! The command line of the edge proxy.
+//! The command line of foldmux.
 
-use foldmux_proxy::fronts::dns::server::Setup;
+use foldmux_hierarchy::plan::{plan, Plan};
+use foldmux_hierarchy::tree::Kind;
+use foldmux_operator::{Hierarchy, Operator};
+use foldmux_proxy::log::{self, Form};
+use foldmux_proxy::wiring::Zones;
 use foldmux_proxy::{config, server};
 use lexopt::{Arg, Parser};
 use std::ffi::OsString;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 const USAGE: &str = "\
-foldmux, an edge proxy in front of pop caches
+foldmux, an edge proxy in front of pop caches, and a hub cache behind them
 
-  foldmux serve [--config FILE] [--dns FILE]          run in the foreground until SIGTERM; SIGHUP reloads
-  foldmux check-config [--config FILE] [--dns FILE]   read the configuration and say what it holds
+  foldmux serve [--config FILE] [--operator FILE]          run in the foreground until SIGTERM; SIGHUP reloads
+  foldmux hub --operator FILE --name NODE                  serve as a hub of the operator's tree; SIGHUP rewires
+  foldmux check-config [--config FILE] [--operator FILE]   read either or both and say what they hold
+  foldmux plan OLD NEW                                     what a rewiring would move, and whether it is taken
   foldmux version
   foldmux help
 
+  --log plain|json    form of the log on standard error
+  --log-level LEVEL   error, warn, info, debug, or a filter by module; else FOLDMUX_LOG, else info
+
 The configuration is FILE, else the file that GW_CONFIG names. GW_NAME and GW_LISTEN override it.
-The DNS front is off unless --dns, or FOLDMUX_DNS, names the operator's file for it.";
+The operator's file is a script (deploy/foldmux.star); without it, or FOLDMUX_OPERATOR, all that it could set is off.";
 
+#[derive(Clone, Copy, PartialEq)]
 enum Command {
     Serve,
+    Hub,
     Check,
+    Plan,
     Version,
     Help,
 }
 
+/// What the command line says.
+struct Line {
+    command: Command,
+    config: Option<OsString>,
+    operator: Option<PathBuf>,
+    name: Option<String>,
+    files: Vec<PathBuf>,
+    form: Form,
+    level: Option<String>,
+}
+
 fn main() -> ExitCode {
-    match run() {
+    match read().and_then(run) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("foldmux: {}", message.replace('\n', " "));
+            eprintln!("foldmux: {}", message.trim_end());
             ExitCode::FAILURE
         }
     }
 }
 
-fn run() -> Result<(), String> {
+fn read() -> Result<Line, String> {
     let mut parser = Parser::from_env();
-    let (mut command, mut file, mut dns) = (None, None, std::env::var_os("FOLDMUX_DNS"));
-    while let Some(arg) = parser.next().map_err(|e| e.to_string())? {
+    let (mut command, mut config, mut name, mut level) = (None, None, None, None);
+    let mut operator = std::env::var_os("FOLDMUX_OPERATOR").map(PathBuf::from);
+    let (mut files, mut form) = (Vec::new(), Form::Plain);
+    let said = |e: lexopt::Error| e.to_string();
+    let word = |value: OsString| value.into_string().map_err(|v| format!("{v:?} is no text"));
+    while let Some(arg) = parser.next().map_err(said)? {
         match arg {
-            Arg::Value(word) if command.is_none() => {
-                command = Some(match word.to_string_lossy().as_ref() {
+            Arg::Value(value) if command.is_none() => {
+                command = Some(match word(value)?.as_str() {
                     "serve" => Command::Serve,
+                    "hub" => Command::Hub,
                     "check-config" => Command::Check,
+                    "plan" => Command::Plan,
                     "version" => Command::Version,
                     "help" => Command::Help,
                     other => return Err(format!("no command {other:?}; see foldmux help")),
                 });
             }
-            Arg::Long("config") => file = Some(parser.value().map_err(|e| e.to_string())?),
-            Arg::Long("dns") => dns = Some(parser.value().map_err(|e| e.to_string())?),
+            Arg::Value(file) if command == Some(Command::Plan) && files.len() < 2 => files.push(file.into()),
+            Arg::Long("config") => config = Some(parser.value().map_err(said)?),
+            Arg::Long("operator") => operator = Some(parser.value().map_err(said)?.into()),
+            Arg::Long("name") => name = Some(word(parser.value().map_err(said)?)?),
+            Arg::Long("log") => form = Form::parse(&word(parser.value().map_err(said)?)?)?,
+            Arg::Long("log-level") => level = Some(word(parser.value().map_err(said)?)?),
             Arg::Long("help") | Arg::Short('h') => command = Some(Command::Help),
             Arg::Long("version") | Arg::Short('V') => command = Some(Command::Version),
             other => return Err(other.unexpected().to_string()),
         }
     }
-    match command.ok_or("no command; see foldmux help")? {
+    let command = command.ok_or("no command; see foldmux help")?;
+    Ok(Line { command, config, operator, name, files, form, level })
+}
+
+fn run(line: Line) -> Result<(), String> {
+    let Line { command, config, operator, name, files, form, level } = line;
+    match command {
         Command::Help => println!("{USAGE}"),
         Command::Version => println!("foldmux {}", env!("CARGO_PKG_VERSION")),
-        Command::Check => {
-            let config = config::read(&place(file)?)?;
-            if let Some(setup) = setup(dns)? {
-                println!("{setup:?}");
-            }
-            let (classes, bounds) = (config.decoded.classes.join(", "), config.bounds);
-            println!("{} on {}: classes {classes}", config.name, config.listen);
-            println!("{bounds:?}, {} events known", config.known.entries.len());
+        Command::Check => check(config, operator)?,
+        Command::Plan => {
+            let [old, new] = &files[..] else {
+                return Err("plan wants two files; see foldmux help".to_string());
+            };
+            tell(&tree(old)?, &tree(new)?)?;
         }
         Command::Serve => {
-            let file = place(file)?;
+            let file = place(config)?;
             let config = config::read(&file)?;
-            let bound = setup(dns)?.map(Setup::bind).transpose()?;
-            server::run(config, &file, bound)?;
+            let held = operator.as_deref().map(load).transpose()?;
+            let _log = log::start(form, level.as_deref())?;
+            server::run(config, &file, operator.as_deref().zip(held))?;
+        }
+        Command::Hub => {
+            let file = operator.ok_or("hub wants --operator FILE")?;
+            let name = name.ok_or("hub wants --name NODE")?;
+            let _log = log::start(form, level.as_deref())?;
+            foldmux_hub::run::run(&name, &file)?;
         }
     }
     Ok(())
 }
 
-fn setup(file: Option<OsString>) -> Result<Option<Setup>, String> {
-    let Some(file) = file.map(PathBuf::from) else { return Ok(None) };
-    let bytes = std::fs::read(&file).map_err(|e| format!("{}: {e}", file.display()))?;
-    Setup::parse(bytes).map(Some)
-}
-
 /// Where the configuration is: the same file is read at the start and at each reload.
 fn place(file: Option<OsString>) -> Result<PathBuf, String> {
     let file = file.or_else(|| std::env::var_os("GW_CONFIG")).ok_or("no configuration: set GW_CONFIG")?;
     Ok(file.into())
 }
+
+fn load(file: &Path) -> Result<Operator, String> {
+    foldmux_operator::load(file).map_err(|faults| faults.join("\nfoldmux: "))
+}
+
+fn tree(file: &Path) -> Result<Hierarchy, String> {
+    load(file)?.hierarchy.ok_or_else(|| format!("{}: it has no hierarchy", file.display()))
+}
+
+fn check(config: Option<OsString>, operator: Option<PathBuf>) -> Result<(), String> {
+    let operator = operator.map(|file| load(&file).map(|held| (file, held))).transpose()?;
+    if config.is_some() || operator.is_none() || std::env::var_os("GW_CONFIG").is_some() {
+        let config = config::read(&place(config)?)?;
+        let (classes, bounds) = (config.decoded.classes.join(", "), config.bounds);
+        println!("{} on {}: classes {classes}", config.name, config.listen);
+        println!("{bounds:?}, {} events known", config.known.entries.len());
+        if let Some(hierarchy) = operator.as_ref().and_then(|(_, held)| held.hierarchy.as_ref()) {
+            let settings = config.decoded.settings;
+            let zones = Zones { names: config.decoded.zones, own: settings.zone, hub_of: settings.hub_of };
+            zones.notice(&hierarchy.tree)?;
+        }
+    }
+    let Some((file, held)) = operator else { return Ok(()) };
+    println!("{}:", file.display());
+    match &held.hierarchy {
+        None => println!("  hierarchy: off"),
+        Some(h) => {
+            let count = |kind| h.names(kind).len();
+            let (locations, hubs, tops) = (count(Kind::Location), count(Kind::Hub), h.tree.tops().len());
+            println!(
+                "  hierarchy: tree {}, {locations} locations, {hubs} hubs, {tops} of them shields, {}",
+                h.tree.stamp(),
+                h.domain
+            );
+        }
+    }
+    held.relay.iter().for_each(|relay| println!("  relay: {relay:?}"));
+    match &held.dns {
+        None => println!("  dns: off"),
+        Some(dns) => {
+            foldmux_proxy::fronts::dns::server::zone(&dns.zone)?;
+            println!("  dns: {dns:?}");
+        }
+    }
+    Ok(())
+}
+
+/// Prints what a rewiring moves; an error where the tree in service would refuse it.
+fn tell(old: &Hierarchy, new: &Hierarchy) -> Result<(), String> {
+    let Plan { came, went, rewired, shields_moved, ways_moved, extra_fetches } = plan(&old.tree, &new.tree);
+    println!("tree {} -> {}", old.tree.stamp(), new.tree.stamp());
+    came.iter().for_each(|name| println!("  new      {name}"));
+    went.iter().for_each(|name| println!("  gone     {name}"));
+    for change in &rewired {
+        let (kind, name) = (change.kind, &change.name);
+        println!("  rewired  {kind} {name}: {} -> {}", change.before.join(", "), change.after.join(", "));
+    }
+    let of = |kind| rewired.iter().filter(|c| c.kind == kind).count();
+    println!("{} locations and {} hubs rewired", of(Kind::Location), of(Kind::Hub));
+    println!("{:.1}% of objects get another shield", shields_moved * 100.0);
+    println!("{:.1}% of (location, object) go by other hubs", ways_moved * 100.0);
+    println!("{extra_fetches:.3} extra fetches from the archive for each held object, at the most");
+    let root = old.tree.name(old.tree.archive());
+    let wiring = foldmux_hierarchy::epochs::Wiring::new(root, old.tree.clone(), 0);
+    let mut wiring = wiring.map_err(|refused| refused.to_string())?;
+    match wiring.take(1, new.tree.clone()) {
+        Ok(taken) => println!("it would be taken ({taken:?})"),
+        Err(refused) => return Err(format!("it would be refused: {refused}")),
+    }
+    Ok(())
+}
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -11,8 +11,10 @@
 use crate::journal::{Journal, Names, Service};
 use crate::places::{Place, Places};
 use crate::upstream::{pool::Pool, Upstream};
+use crate::wiring::{Live, Zones};
 use foldmux::interface::{Class, Repeat, Time};
 use foldmux::Router;
+use foldmux_operator::Operator;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::io;
@@ -36,10 +38,18 @@
 const SHED_WAIT: Time = 300_000;
 
 /// Runs until a signal ends it; an error is one plain line. `file` is where the configuration came from.
-pub fn run(config: Config, file: &Path, dns: Option<Bound>) -> Result<(), String> {
+/// `operator`: the operator's file and what it holds.
+pub fn run(config: Config, file: &Path, operator: Option<(&Path, Operator)>) -> Result<(), String> {
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
     let bounds = config.bounds;
     let decoded = config.decoded;
+    let (own_file, operator) = operator.map_or((None, Operator::default()), |(file, o)| (Some(file), o));
+    let dns = operator.dns.map(Bound::new).transpose()?;
+    let zones = Zones {
+        names: decoded.zones.clone(),
+        own: decoded.settings.zone,
+        hub_of: decoded.settings.hub_of.clone(),
+    };
     let clock = Clock::default();
     let members = Arc::new(Members::default());
     let pool = Pool::new(bounds.upstream, span(decoded.keep_alive));
@@ -71,6 +81,9 @@
 
     let listed = Arc::new(AtomicBool::new(false));
     let names = Names { zones: decoded.zones, kinds: decoded.kinds };
+    // The wiring comes before the list: no fill goes another way first.
+    let tree = operator.hierarchy.as_ref();
+    let mut live = tree.map(|h| Live::start(h, zones, clock.clone(), handle.clone())).transpose()?;
     let mut journal = Journal::new(names, clock, handle, pool, listed.clone());
     // What is known at the start comes before anything else.
     if !journal.take(&config.known) {
@@ -78,7 +91,7 @@
     }
     let service = Arc::new(Service::new(config.journal));
     if config.journal.is_none() {
-        eprintln!("no journal service: the list stays as configured");
+        tracing::warn!("no journal service: the list stays as configured");
     }
     let followed = service.clone();
     named("journal", 512 * 1024, move || journal.follow(&followed))?;
@@ -91,12 +104,12 @@
     let serve = move |place| front.serve(place);
     let places = Places::new(bounds.clients);
     named("accept", READER_STACK, move || accept(&listener, &places, READER_STACK, Arc::new(serve)))?;
-    eprintln!("{} serves on {on}", config.name);
+    tracing::info!("{} serves on {on}", config.name);
 
     let told = core.clone();
     named("tally", READER_STACK, move || loop {
         thread::sleep(TALLY_EVERY);
-        told.tally.line().iter().for_each(|line| eprintln!("{line}; {} open", told.open()));
+        told.tally.line().iter().for_each(|line| tracing::info!("{line}; {} open", told.open()));
     })?;
     // The desk ends only by a fault: then nothing can be decided any more, and the platform must see it.
     named("watch", READER_STACK, move || {
@@ -105,7 +118,11 @@
         std::process::exit(3);
     })?;
     for _ in signals.forever().take_while(|signal| *signal == SIGHUP) {
-        eprintln!("reload: {}", reload(file, &service).unwrap_or_else(|e| e + "; all stays as it was"));
+        let told = |result: Result<String, String>| result.unwrap_or_else(|e| e + "; all stays as it was");
+        tracing::info!("reload: {}", told(reload(file, &service)));
+        if let (Some(live), Some(own_file)) = (&mut live, own_file) {
+            tracing::info!("rewire: {}", told(rewire(own_file, live)));
+        }
     }
     leave(&core, &leaving);
     Ok(())
@@ -120,6 +137,13 @@
     Ok(format!("the journal service is at {address}"))
 }
 
+/// Reads the operator's file again and takes its tree. Whatever else it says holds from the next start.
+fn rewire(file: &Path, live: &mut Live) -> Result<String, String> {
+    let operator = foldmux_operator::load(file).map_err(|faults| faults.join("; "))?;
+    let hierarchy = operator.hierarchy.ok_or_else(|| format!("{}: no hierarchy", file.display()))?;
+    live.take(&hierarchy)
+}
+
 /// Serves on for a while, answers what was taken, and returns.
 fn leave(core: &Core, leaving: &AtomicBool) {
     leaving.store(true, Ordering::SeqCst);
@@ -129,7 +153,7 @@
         thread::sleep(Duration::from_millis(5));
     }
     thread::sleep(LINGER);
-    eprintln!("left {:?} after the signal, {} open", told.elapsed(), core.open());
+    tracing::info!("left {:?} after the signal, {} open", told.elapsed(), core.open());
 }
 
 pub fn named(
@@ -154,7 +178,7 @@
                 let Some(place) = places.take(stream) else { continue };
                 let serve = serve.clone();
                 let spawned = named("connection", stack, move || serve(place));
-                spawned.err().iter().for_each(|e| eprintln!("{e}"));
+                spawned.err().iter().for_each(|e| tracing::warn!("{e}"));
             }
             Err(e) => thread::sleep(pause(&e)),
         }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -240,6 +240,8 @@
     servers: BTreeMap<CacheId, Server>,
     /// Listed servers by tier: own caches, siblings of the nearest locations, parents, the origin.
     tiers: [Vec<CacheId>; 4],
+    /// Zones whose parents may be named as sources; all, where no wiring is told.
+    wired: Option<Vec<usize>>,
     requests: BTreeMap<RequestId, Request>,
     attempts: BTreeMap<(RequestId, u8), Attempt>,
     local: Table,
@@ -343,6 +345,7 @@
             running: false,
             servers: BTreeMap::new(),
             tiers: Default::default(),
+            wired: None,
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
             local: Table::default(),
@@ -373,6 +376,10 @@
         }
         match event {
             Event::Members { full, members } => self.on_members(full, members),
+            Event::Wired { hubs, hub_of } => {
+                (self.wired, self.settings.hub_of) = (Some(hubs), hub_of);
+                self.on_members(false, Vec::new());
+            }
             Event::MembersFailed if self.settings.must_ask => out.push(Action::Watch),
             Event::Request(ask) => self.on_request(now, ask, out),
             Event::Outcome(report) => self.on_outcome(now, report, out),
@@ -413,7 +420,8 @@
         let apart = |s: &Server| self.hubs_apart(s.member.zone);
         let siblings = || self.servers.values().filter(|s| self.tier(&s.member) == 1);
         let nearest = siblings().map(apart).min();
-        let near = |t: usize, s: &Server| t != 1 || Some(apart(s)) == nearest;
+        let wired = |s: &Server| self.wired.as_ref().is_none_or(|hubs| hubs.contains(&s.member.zone));
+        let near = |t: usize, s: &Server| (t != 1 || Some(apart(s)) == nearest) && (t != 2 || wired(s));
         self.tiers = std::array::from_fn(|tier| {
             let all = self.servers.iter().filter(|(_, s)| self.tier(&s.member) == tier && near(tier, s));
             all.map(|(&c, _)| c).collect()
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -210,6 +210,12 @@
         full: bool,
         members: Vec<Member>,
     },
+    /// The wiring of the hierarchy: the zones whose parents fills of this zone may name as sources, and by zone the
+    /// zone of its hub. What is out ends as it began.
+    Wired {
+        hubs: Vec<usize>,
+        hub_of: Vec<usize>,
+    },
     /// Asking for the list failed, or the subscription ended.
     MembersFailed,
     Request(Ask),
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -307,3 +307,26 @@
     let later = ask(7_000..7_060, &[], 3 * SECOND);
     assert!(later[&30] >= 10 && later[&31] >= 10, "{later:?}");
 }
+
+#[test]
+fn fills_follow_the_wiring_and_go_to_the_origin_where_it_names_no_parent() {
+    let mut front = Front::new(Settings { siblings: Siblings::None, ..settings() }, members());
+    let sources = |front: &mut Front, objects: std::ops::Range<u64>| {
+        let mut named = std::collections::BTreeSet::new();
+        for object in objects {
+            let actions = front.request(0, object).1;
+            let fetch = only_fetch(&actions);
+            named.insert(fetch.source.0);
+            front.outcome(&fetch, 0, Outcome::Served, Note::Untold);
+        }
+        named.into_iter().collect::<Vec<_>>()
+    };
+    let hubs: Vec<usize> =
+        members().iter().filter(|m| [30, 31].contains(&m.cache.0)).map(|m| m.zone).collect();
+    assert_eq!(sources(&mut front, 0..60), [30, 31]);
+    let hub_of = settings().hub_of;
+    front.event(Event::Wired { hubs: vec![], hub_of: hub_of.clone() });
+    assert_eq!(sources(&mut front, 100..160), [40], "no parent is wired");
+    front.event(Event::Wired { hubs, hub_of });
+    assert_eq!(sources(&mut front, 200..260), [30, 31]);
+}
