--- a/hierarchy/src/epochs.rs
+++ b/hierarchy/src/epochs.rs
@@ -149,6 +149,11 @@
         drained
     }
 
+    /// Former trees that may still be used, the latest first.
+    pub fn usable_former(&self, now: Time) -> impl Iterator<Item = &Arc<Tree>> {
+        self.former.iter().rev().filter(move |f| now < f.until).map(|f| &f.tree)
+    }
+
     /// Former trees that are held.
     pub fn former(&self) -> usize {
         self.former.len()
--- a/hub/src/fetch.rs
+++ b/hub/src/fetch.rs
@@ -33,6 +33,8 @@
     Loop,
     /// A copy from before the bound came: the source is behind, and not unwell.
     TooOld,
+    /// It was to give what it holds, and lacks it.
+    Lacks,
     Unreached,
     Failed,
     /// Nobody waits any more, or another try has taken this one's place.
@@ -75,7 +77,7 @@
             }
         };
         add(&hub.tally.fetches);
-        if target.archive {
+        if target.choice.archive {
             add(&hub.tally.archive_fetches);
         }
         // Guards against a fault in one try leaving all who wait without an end.
@@ -84,18 +86,15 @@
         fill.flight.release(attempt);
         let word = match end {
             End::Whole | End::Missing => Some(Word::Served),
-            End::Full | End::Loop | End::TooOld => Some(Word::Turned),
+            End::Full | End::Loop | End::TooOld | End::Lacks => Some(Word::Turned),
             End::Unreached => Some(Word::Unreached),
             End::Failed => Some(Word::Failed),
             End::Off => None,
         };
-        word.iter().for_each(|word| hub.book.hear(hub.now(), hub.unix_ms(), &target.name, *word, since));
+        word.iter()
+            .for_each(|word| hub.book.hear(hub.now(), hub.unix_ms(), &target.choice.name, *word, since));
         verdict = match end {
             End::Whole => {
-                // Kept before the ledger lets go: who comes in between finds one or the other.
-                if let Some(copy) = fill.flight.whole() {
-                    hub.keep(fill.key, fill.born_after, copy);
-                }
                 hub.book.done(fill, attempt, None);
                 return;
             }
@@ -113,13 +112,13 @@
                 add(&hub.tally.too_old);
                 Some(Verdict::Failed)
             }
-            End::Unreached | End::Failed => Some(Verdict::Failed),
+            End::Unreached | End::Failed | End::Lacks => Some(Verdict::Failed),
         };
-        archive_tries += target.archive as usize;
-        if !target.archive || archive_tries >= ARCHIVE_TRIES || end == End::Full {
-            tried.push(target.name.clone());
+        archive_tries += target.choice.archive as usize;
+        if !target.choice.archive || archive_tries >= ARCHIVE_TRIES || end == End::Full {
+            tried.push(target.choice.name.clone());
         }
-        tracing::debug!(source = %target.name, ?end, object = %format_args!("{:016x}", fill.key.object), "a try failed");
+        tracing::debug!(source = %target.choice.name, ?end, object = %format_args!("{:016x}", fill.key.object), "a try failed");
         match hub.book.failed(hub.now(), fill, attempt, verdict.unwrap_or(Verdict::Failed)) {
             Next::Again(next) => attempt = next,
             Next::Over | Next::Stale => return,
@@ -130,7 +129,7 @@
 /// One try at one source; whatever it held is given back when this returns.
 fn ask(hub: &Hub, fill: &Fill, target: &Target, attempt: u32, tried: &[Arc<str>]) -> (End, Option<u64>) {
     // A source that has nodes above it may need their leases before it answers.
-    let lease = hub.lease * (1 + target.height as u32);
+    let lease = hub.lease * (1 + target.choice.height as u32);
     let idle = hub.links.idle(target.address);
     let reused = idle.is_some();
     let first = match idle.map_or_else(|| hub.links.dial(target.address, lease), Ok) {
@@ -160,7 +159,7 @@
     if !fill.flight.hold(attempt, stream) {
         return (End::Off, None);
     }
-    let off = |end| if fill.flight.called_off() { End::Off } else { end };
+    let off = |end| if end != End::Whole && fill.flight.called_off() { End::Off } else { end };
     let Some(head) = head(hub, fill, target, tried) else { return (End::Off, None) };
     if write_all(stream, &[head.as_bytes()], Instant::now() + lease).is_err() {
         return (off(End::Unreached), None);
@@ -175,7 +174,11 @@
         Err(Broken::Reset) if filled == 0 => return (off(End::Unreached), None),
         Err(_) => return (off(End::Failed), None),
     };
-    let (end, whole) = take(hub, fill, attempt, stream, &mut buffer, filled, &told, &response, length, lease);
+    let hold_only = target.choice.hold_only;
+    let (end, whole) =
+        take(hub, fill, attempt, hold_only, stream, &mut buffer, filled, &told, &response, length, lease);
+    // Guards against an end shutting a connection that is another fetch's by then.
+    fill.flight.release(attempt);
     if whole && response.reusable {
         hub.links.give_back(target.address, stream.clone());
     }
@@ -188,6 +191,7 @@
     hub: &Hub,
     fill: &Fill,
     attempt: u32,
+    hold_only: bool,
     stream: &TcpStream,
     buffer: &mut [u8],
     filled: usize,
@@ -201,6 +205,7 @@
     let Length::Known(length) = length else { return (End::Failed, false) };
     let end = match (response.status, response.untouched) {
         (200, _) => None,
+        (404, _) if hold_only => Some(End::Lacks),
         (404, _) => Some(End::Missing),
         _ if told.looped => Some(End::Loop),
         (503 | 504, true) => Some(End::Full),
@@ -215,14 +220,15 @@
         return (End::TooOld, false);
     }
     let meta = Meta { tag: told.tag.clone(), born_ms, length };
-    let Some(have) = fill.flight.head(attempt, meta) else { return (End::Off, false) };
+    let keep = |copy| hub.keep(fill.key, fill.born_after, copy);
+    let Some(have) = fill.flight.head(attempt, meta, keep) else { return (End::Off, false) };
     let (mut skip, mut at) = (have, 0);
     let mut pass = |bytes: &[u8], at: &mut usize| {
         let bytes = &bytes[..bytes.len().min(length - *at)];
         *at += bytes.len();
         let skipped = skip.min(bytes.len());
         skip -= skipped;
-        skipped == bytes.len() || fill.flight.chunk(attempt, &bytes[skipped..])
+        skipped == bytes.len() || fill.flight.chunk(attempt, &bytes[skipped..], keep)
     };
     let more = filled - start;
     if more > 0 && !pass(&buffer[start..filled], &mut at) {
@@ -258,15 +264,15 @@
     if fill.born_after > 0 {
         field("X-Max-Age-Ms", &hub.unix_ms().saturating_sub(fill.born_after).max(1));
     }
-    field("X-Flags", &"coalesce");
+    field("X-Flags", if target.choice.hold_only { &"shallow" } else { &"coalesce" });
     field("CDN-Loop", &fill.way.with(&hub.signer, fill.key.object));
-    let solo = if target.solo { ";solo" } else { "" };
+    let solo = if target.choice.solo { ";solo" } else { "" };
     // So that a node that stands in for one that failed does not ask that one again.
     let mut past: Vec<&str> = fill.past.iter().map(String::as_str).collect();
     past.extend(tried.iter().map(|name| &**name));
     past.truncate(8);
     let past = if past.is_empty() { String::new() } else { format!(";past={}", past.join("+")) };
-    field("Hub-Tree", &format_args!("{}{solo}{past}", target.stamp));
+    field("Hub-Tree", &format_args!("{}{solo}{past}", target.choice.stamp));
     head.push_str("\r\n");
     Some(head)
 }
--- a/hub/src/lib.rs
+++ b/hub/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! Owns: the hub's sockets and threads ([`run`]), the life of a fill ([`serve`]), the fetches ([`fetch`]), the
 //! bytes that a fetch and those who wait for it share ([`flight`]), the book of what is decided ([`book`]), idle
-//! connections to sources ([`links`]).
+//! connections to sources ([`links`]), the journal's purges ([`purges`]).
 //!
 //! May not: decide by itself where a fill goes, who waits, who is unwell or how much a cold hub is given: the book
 //! asks `foldmux-hierarchy`, which does no I/O. Writes are passed on once: never collapsed, kept or repeated.
@@ -12,6 +12,7 @@
 pub mod fetch;
 pub mod flight;
 pub mod links;
+pub mod purges;
 pub mod run;
 pub mod serve;
 pub mod tally;
--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -4,9 +4,11 @@
 use crate::fetch;
 use crate::flight::{Copy, Verdict};
 use crate::links::Links;
+use crate::purges;
 use crate::serve;
 use crate::tally::{add, Tally};
 use foldmux_hierarchy::epochs::Taken;
+use foldmux_hierarchy::fence::Fences;
 use foldmux_hierarchy::ledger::{Key, Limits, Next};
 use foldmux_hierarchy::way::Signer;
 use foldmux_hierarchy::Time;
@@ -23,6 +25,8 @@
 
 /// Stack of a thread that reads a connection or makes a fetch: bytes are on the heap.
 const STACK: usize = 160 * 1024;
+/// The hub's clock at its start: what began before has room behind it.
+const ORIGIN: Time = 1 << 40;
 /// Classes that are told apart.
 const CLASSES_MOST: usize = 256;
 /// How often leases and former trees are looked at.
@@ -52,6 +56,7 @@
     pub leaving: AtomicBool,
     copies: Cache<Key, Arc<Copy>, Bytes>,
     classes: Mutex<HashMap<String, u32>>,
+    fences: Mutex<Fences>,
     started: Instant,
     open: AtomicUsize,
     /// Fetches under way, by what their threads need: a successor takes over where one dies.
@@ -61,7 +66,7 @@
 
 impl Hub {
     pub fn now(&self) -> Time {
-        self.started.elapsed().as_micros() as Time + 1
+        ORIGIN + self.started.elapsed().as_micros() as Time
     }
 
     pub fn unix_ms(&self) -> u64 {
@@ -81,6 +86,17 @@
         })
     }
 
+    /// A purge that this hub was told of: no fill that comes from here on is answered from an older copy.
+    pub fn purge(&self, object: Option<u64>, stamp_ms: u64) {
+        self.fences.lock().unwrap_or_else(PoisonError::into_inner).purge(object, stamp_ms);
+        add(&self.tally.purges);
+    }
+
+    /// When a copy must have been born at the earliest for a fill that allows so much, by the purges told here.
+    pub fn bound(&self, object: u64, born_after: u64) -> u64 {
+        self.fences.lock().unwrap_or_else(PoisonError::into_inner).oldest(object).max(born_after)
+    }
+
     /// The copy that is held, if it is young enough.
     pub fn held(&self, key: Key, born_after: u64) -> Option<Arc<Copy>> {
         self.copies.get(&key).filter(|copy| copy.meta.born_ms >= born_after)
@@ -187,6 +203,7 @@
         leaving: AtomicBool::new(false),
         copies,
         classes: Mutex::default(),
+        fences: Mutex::default(),
         started: Instant::now(),
         open: AtomicUsize::new(0),
         fills: Mutex::default(),
@@ -195,6 +212,10 @@
     });
     let accepting = hub.clone();
     spawn("accept", move || accept(&accepting, &listener))?;
+    if let Some(journal) = hub.relay.journal {
+        let followed = Arc::downgrade(&hub);
+        spawn("journal", move || purges::follow(&followed, journal))?;
+    }
     // Ends with the hub: it holds no more than a look at it.
     let watched = Arc::downgrade(&hub);
     spawn("sweep", move || {
--- a/hub/src/serve.rs
+++ b/hub/src/serve.rs
@@ -221,6 +221,7 @@
         0 => 0,
         age => hub.unix_ms().saturating_sub(age),
     };
+    let born_after = hub.bound(object, born_after);
     if let Some(copy) = hub.held(key, born_after) {
         add(&hub.tally.hits);
         return reply.copy(asked, &copy);
@@ -237,7 +238,14 @@
         Entry::Lead(id, waiting) => {
             let (flight, path, via) = (waiting.flight.clone(), request.path.clone(), asked.via.clone());
             let fill = Fill { id, key, path, via, way, lane, born_after, past, flight };
-            hub.fetch(fill, 0);
+            match hub.held(key, born_after) {
+                // Guards against a second fetch for what came between the look at the copies and the ledger.
+                Some(copy) => {
+                    fill.flight.give(&copy);
+                    hub.book.done(&fill, 0, None);
+                }
+                None => hub.fetch(fill, 0),
+            }
             waiting
         }
         Entry::Full => {
@@ -348,20 +356,19 @@
             Ok(n) => body.extend_from_slice(&buffer[..n]),
         }
     }
-    let target = match hub.book.first(object, way) {
-        Some(target) => target,
+    let (address, stamp) = match hub.book.first(object, way) {
+        Some(first) => first,
         None => return reply.refuse("502 Bad Gateway", "destination_unavailable", ""),
     };
     let left = |now: Instant| until.saturating_duration_since(now);
-    let Ok(stream) = hub.links.dial(target.address, left(Instant::now())) else {
+    let Ok(stream) = hub.links.dial(address, left(Instant::now())) else {
         // Nothing was written: it never ran.
         return reply.refuse("503 Service Unavailable", "connection_refused", "");
     };
     let mut head = format!("GET {} HTTP/1.1\r\n", request.path);
-    let _ = write!(head, "Host: {}\r\nContent-Length: {}\r\n", target.address, body.len());
+    let _ = write!(head, "Host: {address}\r\nContent-Length: {}\r\n", body.len());
     let _ = write!(head, "Via-Wait: {}\r\n", left(Instant::now()).as_millis().max(1));
-    let _ =
-        write!(head, "CDN-Loop: {}\r\nHub-Tree: {};solo\r\n", way.with(&hub.signer, object), target.stamp);
+    let _ = write!(head, "CDN-Loop: {}\r\nHub-Tree: {};solo\r\n", way.with(&hub.signer, object), stamp);
     if !asked.via.is_empty() {
         let _ = write!(head, "Via-Id: {}\r\n", asked.via);
     }
--- a/hub/src/tally.rs
+++ b/hub/src/tally.rs
@@ -34,6 +34,8 @@
     /// Sources passed over because they are cold and have been given enough.
     cold_held_back,
     connections_refused,
+    /// Purges that the journal told of.
+    purges,
 }
 
 pub fn add(count: &AtomicU64) {
--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,200 @@
+//! `foldmux-lab`: plays scenarios, sweeps one of their fields, and plots.
+
+mod model;
+mod plot;
+mod scenario;
+
+use lexopt::{Arg, Parser};
+use model::{play, Result as Day};
+use scenario::Scenario;
+use serde::Serialize;
+use std::process::ExitCode;
+
+const USAGE: &str = "\
+foldmux-lab, a model of what foldmux balances, in virtual time
+
+  foldmux-lab run SCENARIO [--json]                          beside the same day without a rewiring, and without shields
+  foldmux-lab sweep SCENARIO --field F --values A,B,… [--repeats N] [--json]
+  foldmux-lab plot SCENARIO --field F --values A,B,… [--repeats N] --out FILE.svg
+  foldmux-lab help
+
+The same scenario and seed give the same figures; repeats count the seed up.";
+
+/// A day, and what to hold it against.
+#[derive(Serialize)]
+struct Run {
+    archive_fetches_per_object: f64,
+    /// Worth served, over that of the same day without a rewiring.
+    worth_kept: f64,
+    loops_broken: u64,
+    node_visited_twice: u64,
+    older_than_purge: u64,
+    /// The same day with any two parents by the object and no shield.
+    without_shields: f64,
+    rewired: Day,
+    calm: Day,
+    plain: Day,
+}
+
+#[derive(Serialize)]
+pub struct Point {
+    pub value: f64,
+    /// Mean of the repeats, and their least and most.
+    pub shielded: [f64; 3],
+    pub plain: [f64; 3],
+    pub worth: f64,
+    pub worth_plain: f64,
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(message) => {
+            eprintln!("foldmux-lab: {}", message.trim_end());
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<(), String> {
+    let mut parser = Parser::from_env();
+    let (mut words, mut json) = (Vec::new(), false);
+    let (mut field, mut values, mut repeats, mut out) = (None, None, 3u64, None);
+    let said = |e: lexopt::Error| e.to_string();
+    while let Some(arg) = parser.next().map_err(said)? {
+        match arg {
+            Arg::Long("json") => json = true,
+            Arg::Long("field") => field = Some(text(&mut parser)?),
+            Arg::Long("values") => values = Some(text(&mut parser)?),
+            Arg::Long("repeats") => {
+                repeats = text(&mut parser)?.parse().map_err(|e| format!("--repeats: {e}"))?
+            }
+            Arg::Long("out") => out = Some(text(&mut parser)?),
+            Arg::Long("help") | Arg::Short('h') => words = vec!["help".to_string()],
+            Arg::Value(word) if words.len() < 2 => words.push(word.to_string_lossy().into_owned()),
+            other => return Err(other.unexpected().to_string()),
+        }
+    }
+    let scenario = |file: &str| {
+        let text = std::fs::read_to_string(file).map_err(|e| format!("{file}: {e}"))?;
+        Scenario::parse(file, &text)
+    };
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    match words[..] {
+        ["run", file] => {
+            let run = beside(&scenario(file)?)?;
+            match json {
+                true => println!("{}", serde_json::to_string_pretty(&run).map_err(|e| e.to_string())?),
+                false => tell(&run),
+            }
+        }
+        [what @ ("sweep" | "plot"), file] => {
+            let field = field.ok_or("--field is wanted")?;
+            let values = values.ok_or("--values is wanted")?;
+            let points = sweep(&scenario(file)?, &field, &values, repeats.clamp(1, 100))?;
+            if what == "plot" {
+                let out = out.ok_or("--out is wanted")?;
+                plot::draw(&out, &field, &points)?;
+                println!("{out}: {} points", points.len());
+            } else if json {
+                println!("{}", serde_json::to_string_pretty(&points).map_err(|e| e.to_string())?);
+            } else {
+                println!("{field:>14}  fetches a part: shielded (least..most)   plain (least..most)    worth   plain");
+                for p in &points {
+                    let [mean, least, most] = p.shielded;
+                    let [plain, plain_least, plain_most] = p.plain;
+                    println!(
+                        "{:>14}  {mean:>23.3} ({least:.3}..{most:.3})  {plain:>6.3} ({plain_least:.3}..{plain_most:.3})  \
+                         {:>6.3}  {:>6.3}",
+                        p.value, p.worth, p.worth_plain
+                    );
+                }
+            }
+        }
+        ["help"] => println!("{USAGE}"),
+        _ => return Err("no such command; see foldmux-lab help".to_string()),
+    }
+    Ok(())
+}
+
+fn text(parser: &mut Parser) -> Result<String, String> {
+    let value = parser.value().map_err(|e| e.to_string())?;
+    value.into_string().map_err(|v| format!("{v:?} is no text"))
+}
+
+/// Days side by side, each on a thread: they share nothing.
+fn all(scenarios: &[Scenario]) -> Vec<Day> {
+    std::thread::scope(|scope| {
+        let days: Vec<_> = scenarios.iter().map(|s| scope.spawn(move || play(s))).collect();
+        days.into_iter().map(|day| day.join().expect("a day ends")).collect()
+    })
+}
+
+fn beside(scenario: &Scenario) -> Result<Run, String> {
+    let calm = scenario.with("rewire_at_s", "0.0")?;
+    let plain = scenario.with("shield", "false")?;
+    let days = all(&[scenario.clone(), calm, plain]);
+    let [rewired, calm, plain] = <[Day; 3]>::try_from(days).map_err(|_| "three days".to_string())?;
+    Ok(Run {
+        archive_fetches_per_object: rewired.archive_fetches_per_object,
+        worth_kept: rewired.worth / calm.worth.max(f64::MIN_POSITIVE),
+        loops_broken: rewired.loops_broken,
+        node_visited_twice: rewired.node_visited_twice,
+        older_than_purge: rewired.older_than_purge,
+        without_shields: plain.archive_fetches_per_object,
+        rewired,
+        calm,
+        plain,
+    })
+}
+
+fn sweep(scenario: &Scenario, field: &str, values: &str, repeats: u64) -> Result<Vec<Point>, String> {
+    let mut points = Vec::new();
+    for value in values.split(',') {
+        let mut days = Vec::new();
+        for seed in 0..repeats {
+            let own = scenario.with(field, value)?.with("seed", &(scenario.seed + seed).to_string())?;
+            days.push(own.with("shield", "false")?);
+            days.push(own);
+        }
+        let results = all(&days);
+        let (plain, shielded): (Vec<_>, Vec<_>) = results.chunks(2).map(|pair| (&pair[0], &pair[1])).unzip();
+        let spread = |days: &[&Day]| {
+            let of = |d: &&Day| d.archive_fetches_per_object;
+            let mean = days.iter().map(of).sum::<f64>() / days.len() as f64;
+            let least = days.iter().map(of).fold(f64::MAX, f64::min);
+            [mean, least, days.iter().map(of).fold(0.0, f64::max)]
+        };
+        let worth = |days: &[&Day]| days.iter().map(|d| d.worth).sum::<f64>() / days.len() as f64;
+        points.push(Point {
+            value: value.trim().parse().map_err(|e| format!("{value:?}: {e}"))?,
+            shielded: spread(&shielded),
+            plain: spread(&plain),
+            worth: worth(&shielded),
+            worth_plain: worth(&plain),
+        });
+    }
+    Ok(points)
+}
+
+fn tell(run: &Run) {
+    println!("{:<34} {:>10} {:>10} {:>10}", "", "rewired", "calm", "no shields");
+    let row = |name: &str, of: &dyn Fn(&Day) -> f64, digits: usize| {
+        let [a, b, c] = [&run.rewired, &run.calm, &run.plain].map(of);
+        println!("{name:<34} {a:>10.digits$} {b:>10.digits$} {c:>10.digits$}");
+    };
+    row("requests", &|d| d.requests as f64, 0);
+    row("served", &|d| d.served as f64, 0);
+    row("refused", &|d| d.refused as f64, 0);
+    row("failed", &|d| d.failed as f64, 0);
+    row("worth served", &|d| d.worth, 4);
+    row("archive fetches", &|d| d.archive_fetches as f64, 0);
+    row("archive fetches a part and purge", &|d| d.archive_fetches_per_object, 4);
+    row("hubs on a fill's way", &|d| d.fill_hops, 2);
+    row("median (ms)", &|d| d.p50_ms, 1);
+    row("99th percentile (ms)", &|d| d.p99_ms, 1);
+    row("loops broken", &|d| d.loops_broken as f64, 0);
+    row("node visited twice", &|d| d.node_visited_twice as f64, 0);
+    row("older than a purge", &|d| d.older_than_purge as f64, 0);
+    println!("worth kept in the rewiring: {:.4}", run.worth_kept);
+}
--- a/operator/src/script.rs
+++ b/operator/src/script.rs
@@ -277,6 +277,7 @@
         #[starlark(require = named, default = 4i64)] attempts: i64,
         #[starlark(require = named, default = 5_000i64)] wait_ms: i64,
         #[starlark(require = named, default = UnpackList::default())] writes: UnpackList<String>,
+        #[starlark(require = named, default = NoneOr::None)] journal: NoneOr<&str>,
     ) -> anyhow::Result<NoneType> {
         let relay = valid(Relay {
             memory_mb: whole("memory_mb", memory_mb)?,
@@ -287,6 +288,7 @@
             attempts: whole("attempts", attempts)?,
             wait_ms: whole("wait_ms", wait_ms)?,
             writes: writes.items,
+            journal: addressed("journal", journal)?,
         })?;
         once(|s| &mut s.operator.relay, relay, "relay")
     }
--- a/operator/src/values.rs
+++ b/operator/src/values.rs
@@ -63,6 +63,8 @@
     /// Classes that run at the archive: passed on once, never collapsed, kept or sent a second way.
     #[garde(length(max = 64))]
     pub writes: Vec<String>,
+    /// The journal service that tells of purges; without one a hub goes by the bounds of fills alone.
+    pub journal: Option<SocketAddr>,
 }
 
 impl Default for Relay {
@@ -76,6 +78,7 @@
             attempts: 4,
             wait_ms: 5_000,
             writes: Vec::new(),
+            journal: None,
         }
     }
 }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,5 +1,5 @@
 //! Stand-ins for tests, the demo and later subsystems, all on loopback: sources that a script makes answer or fail
-//! ([`source`]), caches that fill from sources ([`cache`]), the journal service ([`journal`]), a client ([`client`]).
+//! ([`source`]), caches that fill from sources ([`cache`]), the journal service ([`journal`]), clients ([`client`], [`rpc`]).
 //!
 //! Owns: their sockets and threads, which end when they are dropped. May not: hold what the program under test must
 //! hold, or decide anything for it. Each is written from the protocol's text.
@@ -7,6 +7,7 @@
 pub mod cache;
 pub mod client;
 pub mod journal;
+pub mod rpc;
 pub mod server;
 pub mod source;
 
