--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -7,6 +7,7 @@
 use crate::purges;
 use crate::serve;
 use crate::tally::{add, Tally};
+use crossbeam_channel::{bounded, Sender};
 use foldmux_hierarchy::epochs::Taken;
 use foldmux_hierarchy::fence::Fences;
 use foldmux_hierarchy::ledger::{Key, Limits, Next};
@@ -17,9 +18,10 @@
 use quick_cache::Weighter;
 use std::collections::HashMap;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -29,6 +31,8 @@
 const ORIGIN: Time = 1 << 40;
 /// Classes that are told apart.
 const CLASSES_MOST: usize = 256;
+/// A thread that has no fetch for so long ends.
+const IDLE_THREAD: Duration = Duration::from_secs(5);
 /// How often leases and former trees are looked at.
 const SWEEP: Duration = Duration::from_millis(25);
 
@@ -59,6 +63,8 @@
     fences: Mutex<Fences>,
     started: Instant,
     open: AtomicUsize,
+    /// Threads that wait for a fetch.
+    idle: Mutex<Vec<Sender<(Fill, u32)>>>,
     /// Fetches under way, by what their threads need: a successor takes over where one dies.
     fills: Mutex<HashMap<foldmux_hierarchy::ledger::FetchId, Fill>>,
     sockets: Mutex<HashMap<u64, Arc<TcpStream>>>,
@@ -109,14 +115,32 @@
         }
     }
 
-    /// Starts the thread of a fetch; where there is none to be had, all who wait are told at once.
+    /// Gives a fetch to a thread that is idle, or to a new one; where there is none to be had, all who wait are told
+    /// at once. The ledger bounds the fetches, and so the threads.
     pub fn fetch(self: &Arc<Self>, fill: Fill, attempt: u32) {
         self.fills.lock().unwrap_or_else(PoisonError::into_inner).insert(fill.id, fill.clone());
-        let (hub, own) = (self.clone(), fill.clone());
+        let job = (fill.clone(), attempt);
+        let idle = self.idle().pop();
+        let Some(job) = idle.map_or(Some(job.clone()), |idle| idle.send(job).err().map(|back| back.0)) else {
+            return;
+        };
+        let (hub, (sender, jobs)) = (self.clone(), bounded(1));
         let body = move || {
-            let end = Ended(&hub, own.id);
-            fetch::fetch(&hub, &own, attempt);
-            drop(end);
+            let mut next = Some(job);
+            while let Some((fill, attempt)) = next.take() {
+                let end = Ended(&hub, fill.id);
+                // Guards against a fault in one fetch ending the thread: who waits goes on by the ledger's lease.
+                let _ = catch_unwind(AssertUnwindSafe(|| fetch::fetch(&hub, &fill, attempt)));
+                drop(end);
+                hub.idle().push(sender.clone());
+                next = jobs.recv_timeout(IDLE_THREAD).ok();
+                if next.is_none() {
+                    let listed = hub.idle().extract_if(.., |idle| idle.same_channel(&sender)).count() > 0;
+                    // Guards against a job that was on its way as the wait ended: who took this thread off the list
+                    // is about to send it.
+                    next = if listed { None } else { jobs.recv_timeout(IDLE_THREAD).ok() };
+                }
+            }
         };
         if thread::Builder::new().name("fetch".into()).stack_size(STACK).spawn(body).is_err() {
             let _ = Ended(self, fill.id);
@@ -124,6 +148,10 @@
         }
     }
 
+    fn idle(&self) -> MutexGuard<'_, Vec<Sender<(Fill, u32)>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Fetches whose thread died or hangs go on with another; former trees whose time is over go.
     fn sweep(self: &Arc<Self>) {
         let now = self.now();
@@ -206,6 +234,7 @@
         fences: Mutex::default(),
         started: Instant::now(),
         open: AtomicUsize::new(0),
+        idle: Mutex::default(),
         fills: Mutex::default(),
         sockets: Mutex::default(),
         relay,
