--- a/tests/fleets.rs
+++ b/tests/fleets.rs
@@ -124,3 +124,52 @@
     assert!(front.event(Event::Outcome(lost)).is_empty());
     assert_eq!(fetches(&front.request(0, 5).1).len(), 1, "it goes on");
 }
+
+/// Ten locations' traffic at four proxies that share nothing, turned to one parent as it starts anew and empty.
+#[test]
+fn a_parent_that_starts_cold_as_all_are_rewired_to_it_is_not_pushed_over() {
+    let lone = Settings { siblings: Siblings::None, routers: 4, notes: Notes::None, ..settings() };
+    let front = |index| Front::new(Settings { index, ..lone.clone() }, members());
+    let mut fronts: Vec<Front> = (0..4).map(front).collect();
+    let (each, work) = (8 * MS, 0.05);
+    // 125 fills a second at each of four, of 50 ms: what the two parents carried together before.
+    let carried = 4.0 * 125.0 * work / 2.0;
+    let mut sent: Vec<Time> = Vec::new();
+    let mut object = 0;
+    let mut step = |fronts: &mut Vec<Front>, sent: &mut Vec<Time>| {
+        for front in fronts.iter_mut() {
+            front.now += each;
+            object += 1;
+            let mut actions = front.request(0, object).1;
+            for attempt in 0..8 {
+                let Some(fetch) = fetches(&actions).first().cloned() else { break };
+                if fetch.source == CacheId(31) {
+                    sent.push(front.now);
+                }
+                actions = front.outcome_after(&fetch, attempt, Outcome::Served, Note::Untold, 110 * MS);
+            }
+        }
+    };
+    (0..3_000).for_each(|_| step(&mut fronts, &mut sent));
+    assert!(sent.len() > 4_000, "both parents are used before: {}", sent.len());
+    sent.clear();
+    let boot = fronts[0].now;
+    for (at, front) in fronts.iter_mut().enumerate() {
+        // Each hears of the start and of the wiring at a moment of its own.
+        front.now += at as Time * 2 * MS;
+        front.change(31, |m| m.boot = boot);
+        front.event(Event::Wired { hubs: vec![1], hub_of: settings().hub_of });
+    }
+    (0..2_400).for_each(|_| step(&mut fronts, &mut sent));
+    sent.sort();
+    let (window, s) = (settings().fall_window, settings());
+    let worst = sent.iter().enumerate().map(|(n, at)| {
+        let ramp = (*at - boot) as f64 / s.parent_cold_for as f64;
+        let part = s.parent_cold_from + (1.0 - s.parent_cold_from) * ramp.min(1.0);
+        let within = sent[..=n].iter().rev().take_while(|b| **b + window > *at).count();
+        within as f64 * work / (s.parent_fall_multiple * part * carried * window as f64 / 1e6)
+    });
+    let worst = worst.fold(0.0, f64::max);
+    assert!(worst < 1.0, "{worst} of what it bears");
+    assert!(sent.len() > 500, "it is used as it warms: {}", sent.len());
+}
