Make core, upstream and fronts crates of their own; add the ledger of keyed attempts

Need: core, desk and upstream imported each other in a circle, and a further front (External Processor) must build on a core that knows no wire.

Change: core/ (desk, request, members, buffers, clock, tally; an attempt is a trait, Tries, and what a cancel cuts is a Line), upstream/ (HTTP/1.1 attempts and their pool), fronts/ (MessagePack-RPC, DNS, places); proxy/ is the program that puts them together. The pool hears of ended members by the desk's hook. Its property test (two instances, lost words, crashes with only what was stored before an attempt went) finds no key run twice.

--- /dev/null
+++ b/core/src/attempt.rs
@@ -0,0 +1,34 @@
+//! One attempt, as the core hands it to whoever makes it.
+
+use crate::desk::Target;
+use crate::request::{Inquiry, Slot};
+use foldmux::interface::{Fetch, Outcome};
+use std::ops::Range;
+use std::time::Instant;
+
+pub struct Attempt<'a> {
+    pub inquiry: &'a Inquiry,
+    pub slot: &'a Slot,
+    pub fetch: &'a Fetch,
+    pub target: &'a Target,
+    /// When the client gives up.
+    pub deadline: Instant,
+}
+
+/// What an answer brought: the bytes, by their place in the buffer, or word that the client has them.
+#[derive(Debug, PartialEq)]
+pub enum Got {
+    Body(Range<usize>),
+    Same,
+}
+
+/// Makes attempts. It puts what a cancel must cut into the attempt's slot, and gives back whatever it held before it
+/// returns.
+pub trait Tries: Send + Sync {
+    fn attempt(&self, attempt: &Attempt, buffer: &mut [u8]) -> (Outcome, Option<Got>);
+}
+
+/// The line of an attempt that is under way: cutting it wakes whoever waits on it, at once.
+pub trait Line: Send + Sync {
+    fn cut(&self);
+}
--- a/proxy/src/core/desk.rs
+++ b/core/src/desk.rs
@@ -1,10 +1,9 @@
 //! The desk: one thread that owns the module, its timers and the table of open requests. It is fed by one
 //! bounded channel and hands each action to the request that it is for; it never waits for anything else.
 
-use super::members::{Listed, Members, Start};
-use super::request::Slot;
 use crate::clock::{span, Clock};
-use crate::upstream::pool::Pool;
+use crate::members::{Listed, Members, Start};
+use crate::request::Slot;
 use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
 use foldmux::interface::*;
 use foldmux::Router;
@@ -90,7 +89,6 @@
     clock: Clock,
     notices: Receiver<Notice>,
     members: Arc<Members>,
-    pool: Arc<Pool>,
     /// Called with the former lines of members whose start takes no more work.
     ended: Vec<Hook>,
     open: HashMap<RequestId, Open>,
@@ -99,14 +97,13 @@
 }
 
 impl Desk {
-    pub fn new(router: Router, clock: Clock, members: Arc<Members>, pool: Arc<Pool>) -> (Desk, DeskHandle) {
+    pub fn new(router: Router, clock: Clock, members: Arc<Members>) -> (Desk, DeskHandle) {
         let (sender, notices) = bounded(QUEUE);
         let desk = Desk {
             router,
             clock,
             notices,
             members,
-            pool,
             ended: Vec::new(),
             open: HashMap::new(),
             timers: BinaryHeap::new(),
@@ -173,7 +170,6 @@
             Notice::Members { full, listed } => {
                 let members = listed.iter().map(|l| l.member.clone()).collect();
                 for former in self.members.apply(full, listed) {
-                    self.pool.discard(former.member.cache);
                     self.ended.iter().for_each(|hook| hook(&former));
                 }
                 self.handle(Event::Members { full, members });
--- /dev/null
+++ b/core/src/lib.rs
@@ -0,0 +1,19 @@
+//! The core: it knows no wire. One desk owns the module; each request is one function on a thread of its own.
+//!
+//! Owns: the module, its timers and the table of open requests ([`desk`]), the life of a request ([`request`]), the
+//! list of members ([`members`]), the buffers ([`buffers`]), the clock ([`clock`]), the counts ([`tally`]).
+//!
+//! May not: open, read or write a socket, or know how a request came or an attempt is made. Fronts hand it an
+//! [`Inquiry`] and a [`Reply`]; whoever makes attempts implements [`attempt::Tries`]. It depends on the module alone.
+
+pub mod attempt;
+pub mod buffers;
+pub mod clock;
+pub mod desk;
+pub mod members;
+pub mod request;
+pub mod tally;
+
+pub use attempt::{Attempt, Got, Tries};
+pub use desk::{Desk, DeskHandle};
+pub use request::{Answer, Core, Inquiry, Reply, Served};
--- a/proxy/src/core/request.rs
+++ b/core/src/request.rs
@@ -1,15 +1,14 @@
 //! The life of one request, from its ask to its one answer, in one function on a thread of its own.
 
-use super::buffers::{Buffers, Lease};
-use super::desk::{DeskHandle, Notice, Order, ORDERS};
-use super::members::{Listed, Members};
+use crate::attempt::{Attempt, Got, Line, Tries};
+use crate::buffers::{Buffers, Lease};
 use crate::clock::{span, Clock};
+use crate::desk::{DeskHandle, Notice, Order, ORDERS};
+use crate::members::{Listed, Members};
 use crate::tally::{End, Tally};
-use crate::upstream::{Attempt, Got, Upstream};
 use crossbeam_channel::{bounded, Sender};
 use foldmux::interface::*;
 use std::collections::HashSet;
-use std::net::{Shutdown, TcpStream};
 use std::ops::Range;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
@@ -72,7 +71,7 @@
 struct SlotState {
     left: bool,
     called_off: Option<u8>,
-    socket: Option<(u8, Arc<TcpStream>)>,
+    line: Option<(u8, Arc<dyn Line>)>,
 }
 
 impl Slot {
@@ -94,34 +93,34 @@
         state.left || state.called_off.is_some_and(|a| a >= attempt)
     }
 
-    /// Puts an attempt's socket where a cancel finds it; false if the cancel came first.
-    pub fn hold(&self, attempt: u8, socket: &Arc<TcpStream>) -> bool {
+    /// Puts an attempt's line where a cancel finds it; false if the cancel came first.
+    pub fn hold(&self, attempt: u8, line: Arc<dyn Line>) -> bool {
         let mut state = self.state();
         if state.left || state.called_off.is_some_and(|a| a >= attempt) {
             return false;
         }
-        state.socket = Some((attempt, socket.clone()));
+        state.line = Some((attempt, line));
         true
     }
 
     pub fn release(&self) {
-        self.state().socket = None;
+        self.state().line = None;
     }
 
     /// Closing the connection gives up the request: the thread that reads from it wakes at once.
     pub fn call_off(&self, attempt: u8) {
         let mut state = self.state();
         state.called_off = state.called_off.max(Some(attempt));
-        if let Some((_, socket)) = state.socket.take_if(|s| s.0 <= attempt) {
-            let _ = socket.shutdown(Shutdown::Both);
+        if let Some((_, line)) = state.line.take_if(|l| l.0 <= attempt) {
+            line.cut();
         }
     }
 
     fn leave(&self) {
         let mut state = self.state();
         state.left = true;
-        if let Some((_, socket)) = state.socket.take() {
-            let _ = socket.shutdown(Shutdown::Both);
+        if let Some((_, line)) = state.line.take() {
+            line.cut();
         }
     }
 }
@@ -139,7 +138,7 @@
     pub desk: DeskHandle,
     pub buffers: Arc<Buffers>,
     pub members: Arc<Members>,
-    pub upstream: Upstream,
+    pub upstream: Box<dyn Tries>,
     pub tally: Tally,
     /// Advised with a refusal of the core's own.
     pub shed_wait: Time,
@@ -157,19 +156,22 @@
 }
 
 impl Core {
+    #[allow(clippy::too_many_arguments)]
     pub fn new(
         desk: DeskHandle,
+        clock: Clock,
         buffers: Arc<Buffers>,
-        upstream: Upstream,
+        members: Arc<Members>,
+        upstream: Box<dyn Tries>,
         shed_wait: Time,
         cold_for: Time,
         most: usize,
     ) -> Arc<Core> {
         Arc::new(Core {
-            clock: upstream.clock.clone(),
+            clock,
             desk,
             buffers,
-            members: upstream.members.clone(),
+            members,
             upstream,
             tally: Tally::default(),
             shed_wait,
--- a/proxy/src/fronts/dns/mod.rs
+++ b/fronts/src/dns/mod.rs
@@ -6,9 +6,9 @@
 pub mod server;
 pub mod spiffe;
 
-use crate::core::request::{place, Placed};
-use crate::core::{Core, Inquiry};
 use foldmux::interface::{State, Time};
+use foldmux_core::request::{place, Placed};
+use foldmux_core::{Core, Inquiry};
 use hickory_proto::op::{Edns, Header, Message, MessageType, OpCode, Query, ResponseCode};
 use hickory_proto::rr::rdata::opt::EdnsOption;
 use hickory_proto::rr::rdata::{A, AAAA, SOA, SRV, TXT};
--- a/proxy/src/fronts/dns/server.rs
+++ b/fronts/src/dns/server.rs
@@ -3,12 +3,12 @@
 use super::notify::Notifier;
 use super::spiffe::{Files, Identity};
 use super::Dns as Front;
-use crate::core::desk::Desk;
-use crate::core::Core;
+use crate::listen::{accept, named, READER_STACK};
 use crate::places::{Place, Places};
-use crate::server::{accept, named, READER_STACK};
 use crossbeam_channel::bounded;
 use foldmux::interface::Time;
+use foldmux_core::desk::Desk;
+use foldmux_core::Core;
 use foldmux_operator::Dns;
 use hickory_proto::rr::Name;
 use rustls::{ServerConnection, StreamOwned};
--- a/proxy/src/fronts/msgpack/codec.rs
+++ b/fronts/src/msgpack/codec.rs
@@ -1,8 +1,8 @@
 //! MessagePack-RPC messages to and from bytes. Reading goes by the stream, so that nothing is held twice;
 //! every length is checked against a bound before anything is kept for it.
 
-use crate::core::buffers::{Buffers, Lease};
 use foldmux::interface::Time;
+use foldmux_core::buffers::{Buffers, Lease};
 use rmp::decode::{read_marker, MarkerReadError, RmpRead, ValueReadError};
 use rmp::{encode, Marker};
 use std::io::Read;
--- a/proxy/src/fronts/msgpack/mod.rs
+++ b/fronts/src/msgpack/mod.rs
@@ -3,13 +3,13 @@
 
 pub mod codec;
 
-use crate::clock::span;
-use crate::core::request::Slot;
-use crate::core::{Answer, Core, Inquiry, Reply};
 use crate::places::Place;
-use crate::tally::End;
 use codec::{Call, Heard, Unread};
 use foldmux::interface::Time;
+use foldmux_core::clock::span;
+use foldmux_core::request::Slot;
+use foldmux_core::tally::End;
+use foldmux_core::{Answer, Core, Inquiry, Reply};
 use std::collections::HashMap;
 use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
--- a/hub/tests/rewiring.rs
+++ b/hub/tests/rewiring.rs
@@ -20,6 +20,18 @@
     Source::start(|_| Act::give(LENGTH, Duration::from_millis(15)))
 }
 
+/// An archive whose copies are of the version that stands there now.
+fn versioned(version: Arc<AtomicU64>, after: Duration) -> Source {
+    Source::start(move |_| Act::Give {
+        version: version.load(Ordering::SeqCst),
+        length: LENGTH,
+        born_ms: None,
+        after,
+        pieces: 1,
+        between: Duration::ZERO,
+    })
+}
+
 /// No name is on a fill's way twice, as the archive sees it.
 fn no_node_twice(log: &[Ask]) {
     for ask in log {
@@ -97,14 +109,7 @@
 fn a_loop_formed_halfway_through_a_purge_brings_back_no_older_copy() {
     let version = Arc::new(AtomicU64::new(1));
     let now = version.clone();
-    let archive = Source::start(move |_| Act::Give {
-        version: now.load(Ordering::SeqCst),
-        length: LENGTH,
-        born_ms: None,
-        after: Duration::from_millis(5),
-        pieces: 1,
-        between: Duration::ZERO,
-    });
+    let archive = versioned(now, Duration::from_millis(5));
     let (before, after): (common::Wiring, common::Wiring) = (
         &[("east", &["south", "archive"]), ("south", &["archive"])],
         &[("east", &["archive"]), ("south", &["east", "archive"])],
@@ -358,14 +363,7 @@
 fn a_hub_that_hears_of_purges_gives_no_older_copy_whatever_is_asked() {
     let version = Arc::new(AtomicU64::new(1));
     let now = version.clone();
-    let archive = Source::start(move |_| Act::Give {
-        version: now.load(Ordering::SeqCst),
-        length: LENGTH,
-        born_ms: None,
-        after: Duration::ZERO,
-        pieces: 1,
-        between: Duration::ZERO,
-    });
+    let archive = versioned(now, Duration::ZERO);
     let journal = foldmux_standins::journal::Journal::start();
     let settings = WIDE.replace(')', &format!(", journal = \"{}\")", journal.address()));
     let rig = Rig::new(archive, &[("east", &["archive"])], &settings);
--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -44,7 +44,7 @@
     fn new(limits: &Limits) -> Bounds {
         let sockets = limits.sockets;
         // Buffers may take 7/10 of the memory; each request needs one, and writes one more.
-        let buffers = (limits.memory_mb * 1024 * 1024 * 7 / 10 / crate::core::buffers::SIZE).max(8);
+        let buffers = (limits.memory_mb * 1024 * 1024 * 7 / 10 / foldmux_core::buffers::SIZE).max(8);
         Bounds {
             clients: (sockets / 3).max(1),
             open: (sockets / 2).min(buffers * 15 / 16).max(1),
--- a/proxy/src/journal.rs
+++ b/proxy/src/journal.rs
@@ -1,12 +1,12 @@
 //! The journal service: a gapless long poll. Events are taken in order, each once; an answer that is lost or
 //! garbled is asked for again, and never makes the list shorter.
 
-use crate::clock::Clock;
-use crate::core::desk::{DeskHandle, Notice};
-use crate::core::members::{cache_id, Listed};
-use crate::upstream::pool::Pool;
 use foldmux::interface::{Member, ObjectId, State};
+use foldmux_core::clock::Clock;
+use foldmux_core::desk::{DeskHandle, Notice};
+use foldmux_core::members::{cache_id, Listed};
 use foldmux_http1::{read_response, Broken};
+use foldmux_upstream::pool::Pool;
 use serde::Deserialize;
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpStream};
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -1,14 +1,10 @@
-//! foldmux on real sockets: a core that knows no wire, fronts that turn bytes into asks and answers into
-//! bytes, and the clients of pop caches and of the journal service.
+//! The program: it puts the core, the fronts and the upstream together.
+//!
+//! Owns: the configuration ([`config`]), the journal service's client ([`journal`]), the tree in service ([`wiring`]),
+//! the log ([`log`]), start, reload and end ([`server`]). May not: decide for a request, or read one.
 
-pub mod clock;
 pub mod config;
-pub mod core;
-pub mod fronts;
 pub mod journal;
 pub mod log;
-pub mod places;
 pub mod server;
-pub mod tally;
-pub mod upstream;
 pub mod wiring;
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -167,7 +167,7 @@
     match &held.dns {
         None => println!("  dns: off"),
         Some(dns) => {
-            foldmux_proxy::fronts::dns::server::zone(&dns.zone)?;
+            foldmux_fronts::dns::server::zone(&dns.zone)?;
             println!("  dns: {dns:?}");
         }
     }
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -1,23 +1,22 @@
 //! Puts the parts together and runs them: the desk, the core, the journal, the fronts, and the end.
 
-use crate::clock::span;
-use crate::clock::Clock;
 use crate::config::{self, Config};
-use crate::core::buffers::Buffers;
-use crate::core::members::Members;
-use crate::core::{Core, Desk};
-use crate::fronts::dns::server::Bound;
-use crate::fronts::msgpack::{Front, Taken};
 use crate::journal::{Journal, Names, Service};
-use crate::places::{Place, Places};
-use crate::upstream::{pool::Pool, Upstream};
 use crate::wiring::{Live, Zones};
 use foldmux::interface::{Class, Repeat, Time};
 use foldmux::Router;
+use foldmux_core::buffers::Buffers;
+use foldmux_core::clock::{span, Clock};
+use foldmux_core::members::Members;
+use foldmux_core::{Core, Desk};
+use foldmux_fronts::dns::server::Bound;
+use foldmux_fronts::listen::{accept, named, READER_STACK};
+use foldmux_fronts::msgpack::{Front, Taken};
+use foldmux_fronts::places::Places;
 use foldmux_operator::Operator;
+use foldmux_upstream::{pool::Pool, Upstream};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
-use std::io;
 use std::net::TcpListener;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -25,8 +24,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Stack of a thread that reads a connection.
-pub const READER_STACK: usize = 96 * 1024;
 /// Served on after SIGTERM: new connections arrive for 0.4 s, requests on them for 0.2 s more.
 const SERVE_ON: Duration = Duration::from_millis(800);
 /// Between the last answer and the exit: it has left, and its client reads it.
@@ -63,7 +60,9 @@
     let taken: Vec<Taken> = classes.iter().zip(&decoded.settings.classes).map(served).collect();
     let writes: Vec<bool> = decoded.settings.classes.iter().map(|c| c.pass_on).collect();
     let router = Router::new(decoded.settings, config.seed);
-    let (mut desk, handle) = Desk::new(router, clock.clone(), members.clone(), pool.clone());
+    let (mut desk, handle) = Desk::new(router, clock.clone(), members.clone());
+    let connections = pool.clone();
+    desk.when_ended(move |former| connections.discard(former.member.cache));
     let upstream = Upstream {
         members: members.clone(),
         pool: pool.clone(),
@@ -71,7 +70,8 @@
         dial_time_out: span(decoded.dial_time_out),
     };
     let buffers = Buffers::new(bounds.buffers);
-    let core = Core::new(handle.clone(), buffers, upstream, shed_wait, cold_for, bounds.open);
+    let (tries, most) = (Box::new(upstream), bounds.open);
+    let core = Core::new(handle.clone(), clock.clone(), buffers, members, tries, shed_wait, cold_for, most);
     if let Some(mut dns) = dns {
         let serial = dns.notify(&mut desk)?;
         let classes = classes.iter().cloned().zip(writes).collect();
@@ -155,54 +155,3 @@
     thread::sleep(LINGER);
     tracing::info!("left {:?} after the signal, {} open", told.elapsed(), core.open());
 }
-
-pub fn named(
-    name: &str,
-    stack: usize,
-    body: impl FnOnce() + Send + 'static,
-) -> Result<thread::JoinHandle<()>, String> {
-    let thread = thread::Builder::new().name(name.to_string()).stack_size(stack);
-    thread.spawn(body).map_err(|e| format!("thread {name}: {e}"))
-}
-
-/// Takes connections, each to a thread of its own, while there are places; those beyond are closed at once.
-pub fn accept(
-    listener: &TcpListener,
-    places: &Arc<Places>,
-    stack: usize,
-    serve: Arc<dyn Fn(Place) + Send + Sync>,
-) {
-    loop {
-        match listener.accept() {
-            Ok((stream, _)) => {
-                let Some(place) = places.take(stream) else { continue };
-                let serve = serve.clone();
-                let spawned = named("connection", stack, move || serve(place));
-                spawned.err().iter().for_each(|e| tracing::warn!("{e}"));
-            }
-            Err(e) => thread::sleep(pause(&e)),
-        }
-    }
-}
-
-/// How long to leave the listener alone after an error. A connection that ended while it waited is no reason
-/// to wait. Guards against spinning where there are no descriptors: the error stays until one is given back.
-fn pause(error: &io::Error) -> Duration {
-    match error.kind() {
-        io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted => Duration::ZERO,
-        _ => Duration::from_millis(20),
-    }
-}
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn accept_errors_neither_spin_nor_end_the_program() {
-        for code in [23, 24, 105, 12] {
-            assert!(!pause(&io::Error::from_raw_os_error(code)).is_zero(), "error {code}");
-        }
-        assert!(pause(&io::Error::from(io::ErrorKind::ConnectionAborted)).is_zero());
-    }
-}
--- a/proxy/src/wiring.rs
+++ b/proxy/src/wiring.rs
@@ -1,8 +1,8 @@
 //! The fill tree in service at this edge proxy, by the operator's file: told to the module as the zones whose
 //! parents it may name. Without a hierarchy in the file the settings hold, and nothing here is started.
 
-use crate::clock::Clock;
-use crate::core::desk::{DeskHandle, Notice};
+use foldmux_core::clock::Clock;
+use foldmux_core::desk::{DeskHandle, Notice};
 use foldmux_hierarchy::epochs::{Taken, Wiring};
 use foldmux_hierarchy::tree::{Kind, Tree};
 use foldmux_operator::Hierarchy;
--- a/proxy/tests/dns.rs
+++ b/proxy/tests/dns.rs
@@ -3,14 +3,14 @@
 
 use foldmux::interface::{CacheId, Member, State};
 use foldmux::Router;
+use foldmux_core::buffers::Buffers;
+use foldmux_core::clock::Clock;
+use foldmux_core::desk::{DeskHandle, Notice};
+use foldmux_core::members::{Listed, Members};
+use foldmux_core::{Core, Desk};
+use foldmux_fronts::dns::server::Bound;
 use foldmux_operator::script::evaluate;
-use foldmux_proxy::clock::Clock;
-use foldmux_proxy::core::buffers::Buffers;
-use foldmux_proxy::core::desk::{DeskHandle, Notice};
-use foldmux_proxy::core::members::{Listed, Members};
-use foldmux_proxy::core::{Core, Desk};
-use foldmux_proxy::fronts::dns::server::Bound;
-use foldmux_proxy::upstream::{pool::Pool, Upstream};
+use foldmux_upstream::{pool::Pool, Upstream};
 use hickory_proto::op::{Message, MessageType, OpCode, Query, ResponseCode};
 use hickory_proto::rr::rdata::opt::{EdnsCode, EdnsOption};
 use hickory_proto::rr::{Name, RData, RecordType};
@@ -41,11 +41,12 @@
     let (clock, members, pool) =
         (Clock::default(), Arc::new(Members::default()), Pool::new(8, Duration::from_secs(15)));
     let router = Router::new(decoded.settings, 1);
-    let (mut desk, handle) = Desk::new(router, clock.clone(), members.clone(), pool.clone());
+    let (mut desk, handle) = Desk::new(router, clock.clone(), members.clone());
     let dial_time_out = Duration::from_millis(400);
-    let upstream = Upstream { members, pool, clock: clock.clone(), dial_time_out };
+    let upstream = Upstream { members: members.clone(), pool, clock: clock.clone(), dial_time_out };
     let buffers = Buffers::new(4);
-    let core = Core::new(handle.clone(), buffers, upstream, 0, 21_000_000, most);
+    let core =
+        Core::new(handle.clone(), clock.clone(), buffers, members, Box::new(upstream), 0, 21_000_000, most);
     let setup = format!(
         r#"dns(zone = "{zone}", udp = "127.0.0.1:0", tcp = "127.0.0.1:0", patience_ms = 20000{more})"#
     );
--- /dev/null
+++ b/repeats/src/ledger.rs
@@ -0,0 +1,400 @@
+//! What is known of each key's attempts. It says for a keyed request whether an attempt may be handed out, and where:
+//! never while one may be running, never outside the key's group or its window once one may have run. When it is full
+//! it refuses; it never forgets a key whose repeat could still come.
+
+use crate::token::{Mark, Token};
+use crate::Millis;
+use std::collections::{BTreeSet, HashMap};
+use std::fmt;
+
+/// What a class allows of its keyed requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rule {
+    /// For so long after its first run the archive drops a repeat.
+    pub window: Millis,
+    /// Attempts of one key, all proxies together, as far as they are known here.
+    pub attempts: u8,
+    /// How long an attempt that was handed out may be sent, and how long it may run after that.
+    pub good_for: Millis,
+    pub runs_for: Millis,
+    /// A key's repeat may come for so long after its last attempt.
+    pub remember: Millis,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Grant {
+    /// The first, or all before it are proved not to have run: anywhere.
+    Anywhere { attempt: u8, first: Millis, expires: Millis },
+    /// One may have run: only within its group.
+    Within { attempt: u8, group: u32, first: Millis, expires: Millis },
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// An attempt is out, or may still be running; come back then.
+    Running {
+        until: Millis,
+    },
+    /// One may have run, and the archive no longer drops a repeat.
+    WindowOver,
+    TooMany,
+    /// The token is of an attempt that another has followed.
+    Replayed,
+    /// The token is of another key.
+    OtherKey,
+    Full,
+}
+
+impl Refusal {
+    /// Whether an attempt of this key may have run: the refusal must not tell the client that nothing did.
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, Refusal::Full | Refusal::OtherKey)
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            Refusal::Running { until } => write!(f, "an attempt may be running until {until}"),
+            Refusal::WindowOver => f.write_str("an attempt may have run, and a repeat would run again"),
+            Refusal::TooMany => f.write_str("all attempts are used"),
+            Refusal::Replayed => f.write_str("the token's attempt has been followed by another"),
+            Refusal::OtherKey => f.write_str("the token is of another key"),
+            Refusal::Full => f.write_str("the ledger of keyed attempts is full"),
+        }
+    }
+}
+
+/// How an attempt ended, as far as anyone can tell.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    NeverRan,
+    MayHaveRun,
+}
+
+/// What is known of one key. Plain values, so that a store can keep them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// The last attempt, and whether its end is known.
+    pub attempt: u8,
+    pub out: bool,
+    /// No attempt is running after this, whatever became of it.
+    pub quiet_at: Millis,
+    /// The first attempt that may have run: when it was handed out, and its group.
+    pub ran: Option<(Millis, u32)>,
+    /// Where the attempt that is out was sent.
+    pub group: u32,
+    pub handed: Millis,
+    pub forget_at: Millis,
+}
+
+pub struct Ledger {
+    most: usize,
+    entries: HashMap<Mark, Entry>,
+    /// When each is forgotten, soonest first.
+    ends: BTreeSet<(Millis, Mark)>,
+}
+
+impl Ledger {
+    pub fn new(most: usize) -> Ledger {
+        Ledger { most, entries: HashMap::new(), ends: BTreeSet::new() }
+    }
+
+    /// As a store kept it, after a crash: what was out may have run, and may be running for as long as it could.
+    pub fn restored(most: usize, entries: impl IntoIterator<Item = (Mark, Entry)>) -> Ledger {
+        let mut ledger = Ledger::new(most);
+        entries.into_iter().for_each(|(key, entry)| ledger.put(key, entry));
+        ledger
+    }
+
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    pub fn get(&self, key: Mark) -> Option<&Entry> {
+        self.entries.get(&key)
+    }
+
+    fn put(&mut self, key: Mark, entry: Entry) {
+        if let Some(former) = self.entries.insert(key, entry) {
+            self.ends.remove(&(former.forget_at, key));
+        }
+        self.ends.insert((entry.forget_at, key));
+    }
+
+    /// Whether an attempt of a key may be handed out. Nothing is written yet: [`Ledger::hand`] does that, once it is
+    /// known where the attempt goes and the entry is stored.
+    pub fn ask(
+        &mut self,
+        now: Millis,
+        key: Mark,
+        rule: &Rule,
+        shown: Option<&Token>,
+    ) -> Result<Grant, Refusal> {
+        while let Some(&(at, old)) = self.ends.first().filter(|(at, _)| *at <= now) {
+            self.ends.remove(&(at, old));
+            self.entries.remove(&old);
+        }
+        if shown.is_some_and(|token| token.key != key) {
+            return Err(Refusal::OtherKey);
+        }
+        let expires = now.saturating_add(rule.good_for);
+        let entry = match (self.entries.get(&key), shown) {
+            (Some(entry), Some(token)) if token.attempt < entry.attempt => return Err(Refusal::Replayed),
+            // An attempt has followed elsewhere: by that, and by what is known here of those before it.
+            (Some(entry), Some(token)) if token.attempt > entry.attempt => {
+                let later = of_token(token, rule);
+                Entry { ran: entry.ran.or(later.ran), ..later }
+            }
+            (Some(entry), _) => *entry,
+            // Of another instance, or from before a store was lost: by what the token says, which may have run.
+            (None, Some(token)) => of_token(token, rule),
+            (None, None) if self.entries.len() >= self.most => return Err(Refusal::Full),
+            (None, None) => return Ok(Grant::Anywhere { attempt: 0, first: now, expires }),
+        };
+        if !self.entries.contains_key(&key) && self.entries.len() >= self.most {
+            return Err(Refusal::Full);
+        }
+        if entry.out && now < entry.quiet_at {
+            return Err(Refusal::Running { until: entry.quiet_at });
+        }
+        let attempt = entry.attempt.checked_add(1).filter(|n| *n < rule.attempts).ok_or(Refusal::TooMany)?;
+        // What was out and is heard of no more may have run.
+        let ran = entry.ran.or(entry.out.then_some((entry.handed, entry.group)));
+        let Some((first, group)) = ran else {
+            return Ok(Grant::Anywhere { attempt, first: now, expires });
+        };
+        // The attempt must have arrived before the archive forgets the first run.
+        let closes = first.saturating_add(rule.window);
+        if now >= closes {
+            return Err(Refusal::WindowOver);
+        }
+        Ok(Grant::Within { attempt, group, first, expires: expires.min(closes) })
+    }
+
+    /// The entry of an attempt that is handed out to a group, to be stored before it goes.
+    pub fn hand(&mut self, now: Millis, key: Mark, rule: &Rule, grant: &Grant, group: u32) -> Entry {
+        let (attempt, ran, expires) = match *grant {
+            Grant::Anywhere { attempt, expires, .. } => (attempt, None, expires),
+            Grant::Within { attempt, group, first, expires } => (attempt, Some((first, group)), expires),
+        };
+        let quiet_at = expires.saturating_add(rule.runs_for);
+        let forget_at = quiet_at.saturating_add(rule.remember);
+        let entry = Entry { attempt, out: true, quiet_at, ran, group, handed: now, forget_at };
+        self.put(key, entry);
+        entry
+    }
+
+    /// How an attempt ended; word of any but the last changes nothing. The entry, if it changed.
+    pub fn ended(&mut self, key: Mark, attempt: u8, end: End) -> Option<Entry> {
+        let entry = self.entries.get(&key).filter(|e| e.out && e.attempt == attempt)?;
+        let ran = match end {
+            End::NeverRan => entry.ran,
+            End::MayHaveRun => entry.ran.or(Some((entry.handed, entry.group))),
+        };
+        let entry = Entry { out: false, ran, ..*entry };
+        self.put(key, entry);
+        Some(entry)
+    }
+}
+
+/// What a token alone tells: its attempt was handed out, and nothing is known of its end.
+fn of_token(token: &Token, rule: &Rule) -> Entry {
+    Entry {
+        attempt: token.attempt,
+        out: true,
+        quiet_at: token.expires.saturating_add(rule.runs_for),
+        ran: Some((token.first, token.group)),
+        group: token.group,
+        handed: token.first,
+        forget_at: token.expires.saturating_add(rule.runs_for).saturating_add(rule.remember),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    const RULE: Rule = Rule { window: 2_000, attempts: 4, good_for: 200, runs_for: 300, remember: 10_000 };
+
+    fn key(n: u8) -> Mark {
+        Mark([n; 16])
+    }
+
+    fn go(ledger: &mut Ledger, now: Millis, shown: Option<&Token>) -> Result<Grant, Refusal> {
+        let grant = ledger.ask(now, key(1), &RULE, shown)?;
+        ledger.hand(now, key(1), &RULE, &grant, 7);
+        Ok(grant)
+    }
+
+    #[test]
+    fn no_attempt_while_one_may_run_and_none_outside_group_or_window() {
+        let mut ledger = Ledger::new(8);
+        assert_eq!(go(&mut ledger, 0, None), Ok(Grant::Anywhere { attempt: 0, first: 0, expires: 200 }));
+        assert_eq!(go(&mut ledger, 499, None), Err(Refusal::Running { until: 500 }));
+        // Nothing was heard of it: it may have run, in group 7.
+        let within = Grant::Within { attempt: 1, group: 7, first: 0, expires: 700 };
+        assert_eq!(go(&mut ledger, 500, None), Ok(within));
+        assert_eq!(ledger.ended(key(1), 0, End::NeverRan), None, "not the last attempt");
+        assert!(ledger.ended(key(1), 1, End::MayHaveRun).is_some());
+        // The last moment at which a repeat is dropped bounds how long an attempt is good.
+        let last = Grant::Within { attempt: 2, group: 7, first: 0, expires: 2_000 };
+        assert_eq!(go(&mut ledger, 1_900, None), Ok(last));
+        ledger.ended(key(1), 2, End::NeverRan);
+        assert_eq!(go(&mut ledger, 2_000, None), Err(Refusal::WindowOver));
+    }
+
+    #[test]
+    fn what_is_proved_not_to_have_run_goes_anywhere_again() {
+        let mut ledger = Ledger::new(8);
+        go(&mut ledger, 0, None).unwrap();
+        ledger.ended(key(1), 0, End::NeverRan);
+        let again = Grant::Anywhere { attempt: 1, first: 5_000, expires: 5_200 };
+        assert_eq!(go(&mut ledger, 5_000, None), Ok(again));
+        for n in 1..4 {
+            ledger.ended(key(1), n, End::NeverRan);
+            let _ = go(&mut ledger, 5_001, None);
+        }
+        assert_eq!(go(&mut ledger, 5_002, None), Err(Refusal::TooMany));
+    }
+
+    #[test]
+    fn a_full_ledger_refuses_and_forgets_nothing_that_could_come_back() {
+        let mut ledger = Ledger::new(1);
+        go(&mut ledger, 0, None).unwrap();
+        assert_eq!(ledger.ask(1, key(2), &RULE, None), Err(Refusal::Full));
+        assert_eq!(go(&mut ledger, 1, None), Err(Refusal::Running { until: 500 }));
+        // Its time is over: the place is free.
+        assert!(ledger.ask(10_500, key(2), &RULE, None).is_ok());
+    }
+
+    #[test]
+    fn a_token_is_judged_by_what_is_known_and_else_by_what_it_says() {
+        let token = |attempt, n| Token {
+            request: key(9),
+            key: key(n),
+            attempt,
+            group: 3,
+            first: 1_000,
+            expires: 1_200,
+        };
+        // Another instance handed it out; here nothing is known of it.
+        let mut other = Ledger::new(8);
+        assert_eq!(go(&mut other, 1_100, Some(&token(0, 1))), Err(Refusal::Running { until: 1_500 }));
+        let within = Grant::Within { attempt: 1, group: 3, first: 1_000, expires: 1_700 };
+        assert_eq!(go(&mut other, 1_500, Some(&token(0, 1))), Ok(within));
+        assert_eq!(go(&mut other, 1_501, Some(&token(0, 1))), Err(Refusal::Replayed));
+        assert_eq!(go(&mut other, 1_501, Some(&token(1, 2))), Err(Refusal::OtherKey));
+        assert_eq!(go(&mut Ledger::new(8), 3_000, Some(&token(0, 1))), Err(Refusal::WindowOver));
+    }
+
+    /// What a caller and the world do.
+    #[derive(Clone, Copy, Debug)]
+    enum Step {
+        Wait(u16),
+        /// Asks at an instance, with the last token or without.
+        Ask {
+            at: bool,
+            token: bool,
+        },
+        /// The attempt that is out arrives, if its time is not over, and runs; or it is lost.
+        Arrives(bool),
+        /// Its end becomes known, truly or not at all.
+        Known(bool),
+        /// The first instance dies and comes back with its store.
+        Crash,
+    }
+
+    fn steps() -> impl Strategy<Value = Vec<Step>> {
+        let step = prop_oneof![
+            3 => (1u16..900).prop_map(Step::Wait),
+            4 => (any::<bool>(), any::<bool>()).prop_map(|(at, token)| Step::Ask { at, token }),
+            3 => any::<bool>().prop_map(Step::Arrives),
+            2 => any::<bool>().prop_map(Step::Known),
+            1 => Just(Step::Crash),
+        ];
+        proptest::collection::vec(step, 1..80)
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig::with_cases(2_000))]
+
+        /// An archive that drops repeats for the window after the first run never runs the key twice, and no two
+        /// attempts are out at once, whatever is lost, and wherever the caller asks: at the second instance with the
+        /// token of its last attempt.
+        #[test]
+        fn no_key_runs_twice(steps in steps()) {
+            let mut instances = [Ledger::new(4), Ledger::new(4)];
+            // What the first instance's store has: entries as they were before their attempts went.
+            let mut stored: HashMap<Mark, Entry> = HashMap::new();
+            let mut now = 1_000u64;
+            // The attempt that is out: its token, when it arrived, and which instance handed it out.
+            let mut out: Option<(Token, Option<Millis>, usize)> = None;
+            let mut last: Option<(Token, usize)> = None;
+            let (mut first_run, mut runs) = (None::<(Millis, u32)>, 0);
+            for step in steps {
+                match step {
+                    Step::Wait(ms) => now += ms as u64,
+                    Step::Ask { at, token } => {
+                        let at = at as usize;
+                        // Only the instance that handed the last attempt out knows of it without its token, and
+                        // callers don't repeat for ever.
+                        let shown = last.filter(|(_, from)| token || *from != at).map(|(token, _)| token);
+                        let given_up = |(t, _): (Token, usize)| now >= t.expires + RULE.remember;
+                        if last.is_some_and(given_up) {
+                            continue;
+                        }
+                        let Ok(grant) = instances[at].ask(now, key(1), &RULE, shown.as_ref()) else { continue };
+                        if let Some((token, arrived, _)) = out {
+                            prop_assert!(now >= arrived.map_or(token.expires, |t| t + RULE.runs_for), "two at once");
+                        }
+                        let (attempt, group, first, expires) = match grant {
+                            Grant::Anywhere { attempt, first, expires } => (attempt, 5 + attempt as u32, first, expires),
+                            Grant::Within { attempt, group, first, expires } => (attempt, group, first, expires),
+                        };
+                        let entry = instances[at].hand(now, key(1), &RULE, &grant, group);
+                        if at == 0 {
+                            stored.insert(key(1), entry);
+                        }
+                        let token = Token { request: key(9), key: key(1), attempt, group, first, expires };
+                        (out, last) = (Some((token, None, at)), Some((token, at)));
+                    }
+                    Step::Arrives(runs_now) => {
+                        let Some((token, arrived, _)) = &mut out else { continue };
+                        if now >= token.expires || arrived.is_some() || !runs_now {
+                            continue;
+                        }
+                        *arrived = Some(now);
+                        match first_run {
+                            Some((at, group)) if now < at + RULE.window && group == token.group => {}
+                            _ => {
+                                runs += 1;
+                                first_run = first_run.or(Some((now, token.group)));
+                            }
+                        }
+                        prop_assert!(runs <= 1, "it ran twice");
+                    }
+                    Step::Known(told) => {
+                        let Some((token, arrived, at)) = out.filter(|_| told) else { continue };
+                        // That it never ran is known only if it never can.
+                        let end = match arrived {
+                            Some(_) => End::MayHaveRun,
+                            None if now >= token.expires => End::NeverRan,
+                            None => continue,
+                        };
+                        instances[at].ended(key(1), token.attempt, end);
+                        out = None;
+                    }
+                    Step::Crash => {
+                        instances[0] = Ledger::restored(4, stored.iter().map(|(k, e)| (*k, *e)));
+                    }
+                }
+            }
+        }
+    }
+}
--- a/proxy/src/upstream/mod.rs
+++ b/upstream/src/lib.rs
@@ -1,17 +1,20 @@
 //! One attempt at a pop cache, a parent or the origin, over HTTP/1.1 with one request at a time.
+//!
+//! Owns: the connections to them ([`pool`]), and what an answer proves. May not: choose a cache, repeat an attempt, or
+//! hold anything of a request once its attempt has returned. It implements the core's [`Tries`].
 
 pub mod pool;
 
-use crate::clock::{span, Clock};
-use crate::core::desk::Target;
-use crate::core::members::Members;
-use crate::core::request::{Inquiry, Slot};
-use foldmux::interface::{Fetch, Outcome, Time};
+use foldmux::interface::{Outcome, Time};
+use foldmux_core::attempt::{Attempt, Got, Line, Tries};
+use foldmux_core::clock::{span, Clock};
+use foldmux_core::members::Members;
+use foldmux_core::request::Inquiry;
 use foldmux_http1::io::write_all;
 use foldmux_http1::{read_response, Broken, Response};
 use pool::Pool;
 use std::fmt::Write as _;
-use std::ops::Range;
+use std::net::{Shutdown, TcpStream};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -22,25 +25,18 @@
     pub dial_time_out: Duration,
 }
 
-pub struct Attempt<'a> {
-    pub inquiry: &'a Inquiry,
-    pub slot: &'a Slot,
-    pub fetch: &'a Fetch,
-    pub target: &'a Target,
-    /// When the client gives up.
-    pub deadline: Instant,
-}
+/// A connection that an attempt is on: shut, its reader wakes.
+struct Held(Arc<TcpStream>);
 
-/// What an answer brought: the bytes, by their place in the buffer, or word that the client has them.
-#[derive(Debug, PartialEq)]
-pub enum Got {
-    Body(Range<usize>),
-    Same,
+impl Line for Held {
+    fn cut(&self) {
+        let _ = self.0.shutdown(Shutdown::Both);
+    }
 }
 
-impl Upstream {
+impl Tries for Upstream {
     /// Makes the attempt and says how it ended; whatever it held is given back when this returns.
-    pub fn attempt(&self, attempt: &Attempt, buffer: &mut [u8]) -> (Outcome, Option<Got>) {
+    fn attempt(&self, attempt: &Attempt, buffer: &mut [u8]) -> (Outcome, Option<Got>) {
         let (outcome, got) = self.make(attempt, buffer);
         attempt.slot.release();
         if got.is_none() && attempt.slot.off(attempt.target.attempt) {
@@ -49,7 +45,9 @@
         }
         (outcome, got)
     }
+}
 
+impl Upstream {
     fn make(&self, attempt: &Attempt, buffer: &mut [u8]) -> (Outcome, Option<Got>) {
         let Attempt { inquiry, slot, fetch, target, .. } = attempt;
         let until = match fetch.time_out {
@@ -70,7 +68,7 @@
             Ok(stream) => stream,
             Err(error) => return (dial_outcome(error), None),
         };
-        if !slot.hold(target.attempt, &stream) {
+        if !slot.hold(target.attempt, Arc::new(Held(stream.clone()))) {
             return (Outcome::Cancelled, None);
         }
         // Dialling took time, and the list may have changed in it: here, just before the first byte, the cache
--- a/proxy/src/upstream/pool.rs
+++ b/upstream/src/pool.rs
@@ -1,8 +1,8 @@
 //! Connections to pop caches, parents and the origin. The pool owns a connection while it is idle and lends it
 //! to an attempt; what is lent comes home when the loan is dropped, and nowhere else. It bounds both together.
 
-use crate::core::members::Start;
 use foldmux::interface::CacheId;
+use foldmux_core::members::Start;
 use std::collections::HashMap;
 use std::io::{self, ErrorKind};
 use std::net::TcpStream;
