--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # build, test, lint, run and show foldmux; everything else is in README.md.
-.PHONY: build test lint run demo lab bench
+.PHONY: build test lint run demo demo-extproc lab bench bench-extproc
 
 build:
 	cargo build --release --locked
@@ -19,6 +19,11 @@
 demo: build
 	target/release/foldmux-demo target/release/foldmux
 
+# Two instances of the external processor behind a calling proxy that cancels, resets and retries, while the instances
+# are killed and started again: what ran twice and whose answer was lost. Some 15 s after the build.
+demo-extproc: build
+	target/release/foldmux-demo target/release/foldmux extproc
+
 # A day of the model with a rewiring, beside the same day without one and without shields.
 lab: build
 	target/release/foldmux-lab run lab/scenarios/rewire.toml
@@ -27,3 +32,9 @@
 bench:
 	cargo bench --locked -p foldmux-hierarchy --bench decision
 	cargo bench --locked -p foldmux-hub --bench relay
+
+# The figures in docs/extproc.md that come from this machine's clock. Nothing else should run.
+bench-extproc: build
+	cargo bench --locked -p foldmux-extproc --bench decide
+	target/release/foldmux-demo target/release/foldmux streams
+	target/release/foldmux-demo target/release/foldmux day
--- a/core/src/desk.rs
+++ b/core/src/desk.rs
@@ -22,7 +22,7 @@
     Ask {
         ask: Ask,
         slot: Arc<Slot>,
-        orders: Sender<Order>,
+        orders: Box<dyn Orders>,
     },
     Outcome(Report),
     /// The client left.
@@ -76,9 +76,20 @@
     }
 }
 
+/// Where a request hears what to do. The desk never waits for it: it has room for [`ORDERS`].
+pub trait Orders: Send {
+    fn order(&self, order: Order);
+}
+
+impl Orders for Sender<Order> {
+    fn order(&self, order: Order) {
+        let _ = self.try_send(order);
+    }
+}
+
 pub struct Open {
     slot: Arc<Slot>,
-    orders: Sender<Order>,
+    orders: Box<dyn Orders>,
     attempts: u8,
 }
 
@@ -148,7 +159,7 @@
             Notice::Ask { ask, slot, orders } => {
                 if slot.left() {
                     // Guards against a client that left before its ask came here: no one would end it.
-                    let _ = orders.try_send(Order::Over);
+                    orders.order(Order::Over);
                     return;
                 }
                 self.open.insert(ask.id, Open { slot, orders, attempts: 0 });
@@ -157,7 +168,7 @@
             Notice::Outcome(report) => self.handle(Event::Outcome(report)),
             Notice::Left(id) => {
                 if let Some(open) = self.open.get(&id) {
-                    let _ = open.orders.try_send(Order::Over);
+                    open.orders.order(Order::Over);
                     self.handle(Event::ClientGone { id });
                 }
             }
@@ -201,7 +212,7 @@
                     decided: Instant::now(),
                 };
                 open.attempts += 1;
-                let _ = open.orders.try_send(Order::Fetch(fetch, target));
+                open.orders.order(Order::Fetch(fetch, target));
             }
             Action::Refuse { id, retry_after } => self.order(id, Order::Refuse { wait: retry_after }),
             Action::Fail { id } => self.order(id, Order::Fail),
@@ -218,7 +229,7 @@
 
     fn order(&mut self, id: RequestId, order: Order) {
         if let Some(open) = self.open.get(&id) {
-            let _ = open.orders.try_send(order);
+            open.orders.order(order);
         }
     }
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -1,6 +1,7 @@
 //! The core: it knows no wire. One desk owns the module; each request is one function on a thread of its own.
 //!
-//! Owns: the module, its timers and the table of open requests ([`desk`]), the life of a request ([`request`]), the
+//! Owns: the module, its timers and the table of open requests ([`desk`]), the life of a request ([`request`]) and of
+//! one whose attempts somebody else makes ([`lent`]), the
 //! list of members ([`members`]), the buffers ([`buffers`]), the clock ([`clock`]), the counts ([`tally`]).
 //!
 //! May not: open, read or write a socket, or know how a request came or an attempt is made. Fronts hand it an
@@ -10,6 +11,7 @@
 pub mod buffers;
 pub mod clock;
 pub mod desk;
+pub mod lent;
 pub mod members;
 pub mod request;
 pub mod tally;
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -38,6 +38,8 @@
     pub arrived: Instant,
     /// How long until the client gives this up, from `arrived`.
     pub budget: Time,
+    /// An attempt made elsewhere may have run: only this group of caches may be asked.
+    pub within: Option<u32>,
 }
 
 /// The bytes of a part, whole, in the buffer that they were read into.
@@ -144,8 +146,10 @@
     pub shed_wait: Time,
     /// How long after its start a member may still be cold.
     pub cold_for: Time,
-    most: usize,
-    open: AtomicUsize,
+    pub(crate) most: usize,
+    pub(crate) open: AtomicUsize,
+    /// Requests whose attempts others make; their fronts bound them.
+    pub(crate) lent: AtomicUsize,
     serial: AtomicU64,
     /// The clients' ids of open requests.
     claimed: Mutex<HashSet<u64>>,
@@ -178,6 +182,7 @@
             cold_for,
             most,
             open: AtomicUsize::new(0),
+            lent: AtomicUsize::new(0),
             serial: AtomicU64::new(1),
             claimed: Mutex::default(),
             idle: Mutex::default(),
@@ -192,6 +197,10 @@
         self.open.load(Ordering::SeqCst)
     }
 
+    pub fn lent(&self) -> usize {
+        self.lent.load(Ordering::SeqCst)
+    }
+
     /// Starts a request, or sheds it at once where the program is full.
     pub fn start(self: &Arc<Core>, inquiry: Inquiry, slot: Arc<Slot>, reply: Box<dyn Reply>) {
         // Guards against a request under the id of an open one: a cache would take them for one request.
@@ -294,7 +303,8 @@
     let (sender, orders) = bounded(ORDERS);
     let _ended = Ended(core, slot.id);
     let deadline = inquiry.arrived + span(inquiry.budget);
-    core.desk.tell(Notice::Ask { ask: ask(&inquiry, slot.id, 0), slot: slot.clone(), orders: sender });
+    let asked = ask(&inquiry, slot.id, 0);
+    core.desk.tell(Notice::Ask { ask: asked, slot: slot.clone(), orders: Box::new(sender) });
     let (end, answer) = loop {
         match orders.recv_deadline(deadline + span(UNORDERED)) {
             Ok(Order::Fetch(fetch, target)) => {
@@ -320,7 +330,7 @@
     reply.answer(answer);
 }
 
-fn ask(inquiry: &Inquiry, id: RequestId, lease: Time) -> Ask {
+pub(crate) fn ask(inquiry: &Inquiry, id: RequestId, lease: Time) -> Ask {
     let deadline = inquiry.arrived + span(inquiry.budget);
     Ask {
         id,
@@ -331,75 +341,6 @@
         size_kb: inquiry.size_kb,
         budget: deadline.saturating_duration_since(Instant::now()).as_micros() as Time,
         lease,
-    }
-}
-
-/// What a request that goes there by itself is told.
-pub enum Placed<T> {
-    At(T),
-    /// No room for it; the module never heard of it.
-    Full,
-    Refused,
-    Failed,
-}
-
-/// The life of a request that its client makes by itself: asked, placed, checked once more, told where to go.
-/// What becomes of it is not seen here, and the module learns nothing from it.
-pub fn place<T>(
-    core: &Core,
-    inquiry: &Inquiry,
-    lease: Time,
-    tell: impl Fn(&Listed, Option<&Listed>, &Fetch) -> T,
-) -> Placed<T> {
-    let _place = match Place::take(core) {
-        Some(place) => place,
-        None => return Placed::Full,
-    };
-    let (slot, (sender, orders)) = (core.slot(), bounded(ORDERS));
-    let _ended = Ended(core, slot.id);
-    let deadline = inquiry.arrived + span(inquiry.budget);
-    core.desk.tell(Notice::Ask { ask: ask(inquiry, slot.id, lease), slot: slot.clone(), orders: sender });
-    loop {
-        match orders.recv_deadline(deadline) {
-            Ok(Order::Fetch(fetch, target)) => {
-                let cache = core.members.allowed(fetch.cache, target.cache);
-                let source = core.members.allowed(fetch.source, target.source);
-                let told = match (&cache, &source) {
-                    (Some(cache), Some(source)) => {
-                        let source = (fetch.source != fetch.cache).then_some(source);
-                        Some(tell(cache, source, &fetch))
-                    }
-                    // Drained, gone or started anew since the module chose: it chooses again.
-                    _ => None,
-                };
-                let outcome = if told.is_some() { Outcome::Cancelled } else { Outcome::NeverSent };
-                core.tally.attempt(outcome);
-                let (id, attempt, last) = (slot.id, target.attempt, told.is_some());
-                let elapsed = target.decided.elapsed().as_micros() as Time;
-                let report = Report { id, attempt, outcome, note: Note::Untold, elapsed, last };
-                core.desk.tell(Notice::Outcome(report));
-                if let Some(told) = told {
-                    return Placed::At(told);
-                }
-            }
-            Ok(Order::Refuse { .. }) => return Placed::Refused,
-            Ok(Order::Fail | Order::Over) | Err(_) => return Placed::Failed,
-        }
-    }
-}
-
-/// One of the places for open requests, where no thread of the core's own holds it.
-struct Place<'a>(&'a Core);
-
-impl Place<'_> {
-    fn take(core: &Core) -> Option<Place<'_>> {
-        let place = Place(core);
-        (core.open.fetch_add(1, Ordering::SeqCst) < core.most).then_some(place)
-    }
-}
-
-impl Drop for Place<'_> {
-    fn drop(&mut self) {
-        self.0.open.fetch_sub(1, Ordering::SeqCst);
+        within: inquiry.within,
     }
 }
--- a/demo/src/main.rs
+++ b/demo/src/main.rs
@@ -1,5 +1,6 @@
-//! `make demo`: the real proxies and hubs over stand-ins, on loopback. Traffic runs, hubs are turned toward each other
-//! and back while each node is told at another moment, objects are purged; then a table, and a verdict by exit code.
+//! `make demo`, and by a second word the scenarios of the external processor ([`foldmux_demo`]). The first: the real
+//! proxies and hubs over stand-ins, on loopback. Traffic runs, hubs are turned toward each other and back while each
+//! node is told at another moment, objects are purged; then a table, and a verdict by exit code.
 
 use foldmux_standins::cache::Cache;
 use foldmux_standins::client;
@@ -139,9 +140,19 @@
 fn run() -> Result<bool, String> {
     let program = std::env::args().nth(1).unwrap_or_else(|| "target/release/foldmux".to_string());
     let program = PathBuf::from(program);
+    let which = std::env::args().nth(2);
     let folder = std::env::temp_dir().join(format!("foldmux-demo-{}", std::process::id()));
     std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
-    let verdict = play(&program, &folder);
+    let verdict = match which.as_deref() {
+        None => play(&program, &folder),
+        Some("extproc") => process(&program, &folder),
+        Some("streams") => foldmux_demo::extproc::streams(&program, &folder, 2_000).map(|told| {
+            println!("{told}");
+            true
+        }),
+        Some("day") => foldmux_demo::day::compare(&program, &folder, 3).map(|_| true),
+        Some(other) => Err(format!("no demo {other:?}; extproc, streams, day, or none for the hubs")),
+    };
     match &verdict {
         Ok(true) => drop(std::fs::remove_dir_all(&folder)),
         _ => eprintln!("demo: the logs are in {}", folder.display()),
@@ -149,6 +160,14 @@
     verdict
 }
 
+/// The external processor behind a proxy that cancels at random.
+fn process(program: &Path, folder: &Path) -> Result<bool, String> {
+    let began = Instant::now();
+    let report = foldmux_demo::extproc::run(program, folder, 20_000, unix_ms())?;
+    println!("{report}\n{:.1} s", began.elapsed().as_secs_f64());
+    Ok(report.sound())
+}
+
 fn play(program: &Path, folder: &Path) -> Result<bool, String> {
     // The archive: 25 ms for each fetch, and a new version with each purge.
     let versions: Versions = Arc::default();
--- a/deploy/foldmux.star
+++ b/deploy/foldmux.star
@@ -54,3 +54,15 @@
 #     lease_ms = 2000,
 #     patience_ms = 500,
 # )
+
+# The external processor, off: here is how it is set up (docs/extproc.md).
+# ext_proc(
+#     listen = "127.0.0.1:9002",
+#     good_for_ms = 200,
+#     strict = False,
+# )
+# ask("formula-card", path = "/cards/{name}", rewrite = True)
+# ask("mix-video", path = "/v2/q/mix-video/{object}/{part}")
+# ask("mix-record", method = "POST", path = "/records/{object}", key = "idempotency-key", rewrite = True)
+# token_key(number = 1, secret = "at least 32 characters, the same at all instances")
+# ledger("/var/lib/foldmux/ledger", entries = 100000, durable = "group")
--- /dev/null
+++ b/fronts/extproc/tests/keyed.rs
@@ -0,0 +1,165 @@
+//! Keyed requests over real connections: tokens that are wrong, a ledger that can't be written, and a front that dies.
+
+use common::{script, store, Instance};
+use foldmux_extproc::check;
+use foldmux_extproc::keyed::unix_ms;
+use foldmux_repeats::token::{Keys, Mark, Token};
+use foldmux_standins::source::{Act, Source};
+use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+mod common;
+
+const SECRET: &[u8] = b"0123456789abcdef0123456789abcdef";
+
+fn cache() -> Source {
+    Source::start(|_| Act::give(100, Duration::ZERO))
+}
+
+fn ask(instance: &Instance, key: &str, token: Option<&str>) -> String {
+    let mut fields = vec![("idempotency-key".to_string(), key.to_string())];
+    fields.extend(token.map(|token| ("x-foldmux-attempt".to_string(), token.to_string())));
+    check::check(&instance.address.to_string(), "POST", "/records/1", &fields).unwrap()
+}
+
+fn field(told: &str, name: &str) -> String {
+    let start = format!("  {name}: ");
+    told.lines().find_map(|line| line.strip_prefix(&start)).unwrap_or_default().to_string()
+}
+
+fn token(class_key: &str, attempt: u8, first: u64, expires: u64) -> Token {
+    Token { request: Mark::of("r"), key: Mark::of(class_key), attempt, group: 2, first, expires }
+}
+
+#[test]
+fn forged_foreign_expired_replayed_and_other_tokens_are_refused_and_counted() {
+    let folder = tempfile::tempdir().unwrap();
+    let cache = cache();
+    let instance =
+        Instance::start(&script("", ""), store(folder.path()), &[cache.address(); 2], cache.address());
+    let (now, keys) = (unix_ms(), Keys::new(1, SECRET));
+    let sound = keys.sign(&token("record/k", 0, now, now + 100));
+    let mut spoilt = sound.clone().into_bytes();
+    spoilt[40] = if spoilt[40] == b'A' { b'B' } else { b'A' };
+    let spoilt = String::from_utf8(spoilt).unwrap();
+    let foreign = Keys::new(9, SECRET).sign(&token("record/k", 0, now, now + 100));
+    let old = keys.sign(&token("record/k", 0, now - 200_000, now - 100_000));
+    for (text, why) in [
+        (spoilt.as_str(), "the token was not made here"),
+        (foreign.as_str(), "the token's key is not known here"),
+        (old.as_str(), "the token's time is over"),
+        ("x", "the token can't be read"),
+    ] {
+        let told = ask(&instance, "k", Some(text));
+        assert!(told.starts_with("answered 400") && told.contains(why), "{told}");
+    }
+    let told = ask(&instance, "other", Some(&sound));
+    assert!(told.starts_with("answered 400") && told.contains("another key"), "{told}");
+    // An attempt out there may be running; then one was followed by another, and the former comes again.
+    let told = ask(&instance, "k", Some(&sound));
+    assert!(told.starts_with("answered 503") && told.contains("may be running"), "{told}");
+    let (past, first) = (now - 3_000, now - 3_200);
+    let late = keys.sign(&token("record/k2", 0, first, past));
+    let told = ask(&instance, "k2", Some(&late));
+    assert!(told.starts_with("placed"), "{told}");
+    let told = ask(&instance, "k2", Some(&late));
+    assert!(told.starts_with("answered 504") && told.contains("followed by another; may have run"), "{told}");
+    let counts = &instance.serving.front.keeper.counts;
+    let of = [
+        &counts.forged,
+        &counts.foreign,
+        &counts.expired,
+        &counts.malformed,
+        &counts.replayed,
+        &counts.running,
+    ];
+    assert_eq!(of.map(|n| n.load(Ordering::SeqCst)), [1; 6]);
+    instance.settled();
+}
+
+#[test]
+fn a_repeat_goes_to_its_group_alone_and_after_the_window_nowhere() {
+    let folder = tempfile::tempdir().unwrap();
+    let caches = [cache(), cache()];
+    let places = [caches[0].address(), caches[1].address()];
+    let instance = Instance::start(&script("", ""), store(folder.path()), &places, places[0]);
+    let (now, keys) = (unix_ms(), Keys::new(1, SECRET));
+    for n in 0..12 {
+        // Cells count from 0, groups from 1: cell 2 is group 3, and the second cache's.
+        let key = format!("g{n}");
+        let shown = Token { group: 3, ..token(&format!("record/{key}"), 0, now - 3_000, now - 2_900) };
+        let told = ask(&instance, &key, Some(&keys.sign(&shown)));
+        assert_eq!(field(&told, "x-foldmux-cache"), places[1].to_string(), "{told}");
+    }
+    let shown = Token { group: 3, ..token("record/w", 0, now - 11_000, now - 10_900) };
+    let told = ask(&instance, "w", Some(&keys.sign(&shown)));
+    assert!(told.starts_with("answered 504") && told.contains("a repeat would run again"), "{told}");
+    let shown = Token { group: 77, ..token("record/n", 0, now - 3_000, now - 2_900) };
+    let told = ask(&instance, "n", Some(&keys.sign(&shown)));
+    assert!(
+        told.starts_with("answered 50") && told.contains("may have run"),
+        "no cache of its group: {told}"
+    );
+    instance.settled();
+}
+
+#[test]
+fn a_ledger_that_can_t_be_written_refuses_keyed_requests_with_a_reason_and_others_go_on() {
+    let folder = tempfile::tempdir().unwrap();
+    let cache = cache();
+    let fails = Arc::new(AtomicBool::new(false));
+    let opener = foldmux_store::failing(&folder.path().join("ledger"), fails.clone());
+    let instance = Instance::start(&script("", ""), opener, &[cache.address(); 2], cache.address());
+    assert!(ask(&instance, "a", None).starts_with("placed"));
+    fails.store(true, Ordering::SeqCst);
+    for _ in 0..3 {
+        let told = ask(&instance, "b", None);
+        assert!(told.starts_with("answered 503") && told.contains("can't be written"), "{told}");
+        assert!(told.contains("nothing ran") && !field(&told, "retry-after").is_empty(), "{told}");
+        let sheet = check::check(&instance.address.to_string(), "GET", "/cards/x", &[]).unwrap();
+        assert!(sheet.starts_with("placed"), "{sheet}");
+    }
+    fails.store(false, Ordering::SeqCst);
+    // It was never handed out: the first attempt is still to be made.
+    assert!(ask(&instance, "b", None).starts_with("placed"));
+    instance.settled();
+}
+
+fn copied(from: &Path, to: &Path) {
+    std::fs::copy(from.join("ledger"), to.join("ledger")).unwrap();
+}
+
+#[test]
+fn a_front_that_comes_back_refuses_what_may_have_run() {
+    let folder = tempfile::tempdir().unwrap();
+    let cache = cache();
+    let first =
+        Instance::start(&script("", ""), store(folder.path()), &[cache.address(); 2], cache.address());
+    assert!(ask(&first, "a", None).starts_with("placed"));
+    // As the disk was between the answer and its outcome: whatever the first still writes is not in this one.
+    let left = tempfile::tempdir().unwrap();
+    copied(folder.path(), left.path());
+    drop(first);
+    let again = Instance::start(&script("", ""), store(left.path()), &[cache.address(); 2], cache.address());
+    let told = ask(&again, "a", None);
+    assert!(told.starts_with("answered 503") && told.contains("may be running until"), "{told}");
+    assert!(ask(&again, "b", None).starts_with("placed"), "others go on");
+    again.settled();
+}
+
+#[test]
+fn a_full_ledger_refuses_and_forgets_nothing() {
+    let folder = tempfile::tempdir().unwrap();
+    let cache = cache();
+    let small = script("", "ledger(\"unused\", entries = 2)");
+    let instance = Instance::start(&small, store(folder.path()), &[cache.address(); 2], cache.address());
+    assert!(
+        ask(&instance, "a", None).starts_with("placed") && ask(&instance, "b", None).starts_with("placed")
+    );
+    let told = ask(&instance, "c", None);
+    assert!(told.starts_with("answered 503") && told.contains("is full; nothing ran"), "{told}");
+    assert!(ask(&instance, "a", None).contains("may be running"), "still known");
+    instance.settled();
+}
--- /dev/null
+++ b/fronts/extproc/tests/streams.rs
@@ -0,0 +1,425 @@
+//! The front over real connections: placed, sent by a calling proxy, heard of; cancelled, flooded, drained, left.
+
+use common::{line, script, store, until, Instance, PATIENCE};
+use foldmux::interface::State;
+use foldmux_extproc::pb::external_processor_client::ExternalProcessorClient;
+use foldmux_extproc::pb::{
+    HeaderMap, HeaderValue, HttpBody, HttpHeaders, ProcessingRequest, ProcessingResponse, Request, Response,
+};
+use foldmux_extproc::{check, serve::block_on};
+use foldmux_standins::caller::{self, Caller, Play, Point, Setup};
+use foldmux_standins::source::{Act, Source};
+use foldmux_standins::{body, unix_ms};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio_stream::wrappers::ReceiverStream;
+use tonic::{Code, Status, Streaming};
+
+mod common;
+
+const LENGTH: usize = 5_000;
+const PATH: &str = "/v2/q/sheet/00000000000000aa/0";
+
+fn quick() -> Source {
+    Source::start(|_| Act::give(LENGTH, Duration::ZERO))
+}
+
+fn message(request: Request) -> ProcessingRequest {
+    ProcessingRequest { request: Some(request), ..ProcessingRequest::default() }
+}
+
+fn response(status: &str, end_of_stream: bool) -> ProcessingRequest {
+    let headers = vec![HeaderValue { key: ":status".into(), value: status.into(), ..HeaderValue::default() }];
+    let headers = Some(HeaderMap { headers });
+    message(Request::ResponseHeaders(HttpHeaders { headers, end_of_stream, ..HttpHeaders::default() }))
+}
+
+/// One stream, message by message.
+struct Talk {
+    sender: mpsc::Sender<ProcessingRequest>,
+    answers: Streaming<ProcessingResponse>,
+}
+
+impl Talk {
+    async fn open(instance: &Instance) -> Talk {
+        let mut client = client(instance).await;
+        Talk::on(&mut client).await
+    }
+
+    async fn on(client: &mut ExternalProcessorClient<tonic::transport::Channel>) -> Talk {
+        let (sender, messages) = mpsc::channel(4);
+        let answers = client.process(ReceiverStream::new(messages)).await.unwrap().into_inner();
+        Talk { sender, answers }
+    }
+
+    async fn say(&self, message: ProcessingRequest) {
+        self.sender.send(message).await.unwrap();
+    }
+
+    async fn hear(&mut self) -> Result<Option<ProcessingResponse>, Status> {
+        tokio::time::timeout(PATIENCE, self.answers.message()).await.expect("an answer")
+    }
+
+    async fn ask(&mut self, path: &str) -> Response {
+        self.say(check::asks("GET", path, &[])).await;
+        self.hear().await.unwrap().unwrap().response.unwrap()
+    }
+}
+
+async fn client(instance: &Instance) -> ExternalProcessorClient<tonic::transport::Channel> {
+    ExternalProcessorClient::connect(format!("http://{}", instance.address)).await.unwrap()
+}
+
+/// A field of a placement.
+fn placed(response: &Response, name: &str) -> Option<String> {
+    let Response::RequestHeaders(headers) = response else { panic!("no placement: {response:?}") };
+    let mutation = headers.response.as_ref().unwrap().header_mutation.as_ref().unwrap();
+    let mut set = mutation.set_headers.iter().filter_map(|f| f.header.as_ref());
+    set.find(|h| h.key == name).map(|h| String::from_utf8(h.raw_value.clone()).unwrap())
+}
+
+#[test]
+fn a_request_is_placed_sent_by_the_caller_and_heard_of() {
+    let folder = tempfile::tempdir().unwrap();
+    let cache = quick();
+    let instance =
+        Instance::start(&script("", ""), store(folder.path()), &[cache.address()], cache.address());
+    let told = check::check(&instance.address.to_string(), "GET", PATH, &[]).unwrap();
+    assert!(
+        told.starts_with("placed\n") && told.contains(&format!("x-foldmux-cache: {}", cache.address())),
+        "{told}"
+    );
+    let caller = Caller::new(Setup::plain(vec![instance.address]));
+    let server = caller.serve();
+    for object in 0..20u64 {
+        let path = foldmux_standins::client::path("sheet", object, 0);
+        let answer = foldmux_standins::client::get(server.address, &path, "", PATIENCE).unwrap();
+        assert_eq!((answer.status, answer.body), (200, body(object, 0, 1, LENGTH)));
+    }
+    // The caches are asked in their own language; a client's own fields do not reach them.
+    let forged = caller::Request {
+        fields: [("x-fill-from".to_string(), "evil".to_string()), ("via-token".to_string(), "t".to_string())]
+            .into(),
+        ..caller::Request::get("/cards/helsinki-blue")
+    };
+    assert_eq!(caller.ask(&forged).unwrap().status, 200);
+    let log = cache.asked.log();
+    let last = log.last().unwrap();
+    assert!(last.class == "sheet" && !last.fields.contains_key("via-token"), "{last:?}");
+    assert!(
+        last.field("x-fill-from").starts_with("s-") && last.field("via-wait").parse::<u64>().unwrap() > 1_000
+    );
+    assert_eq!(last.field("x-keep"), "1");
+    assert_eq!(caller.counts.forbidden.load(Ordering::SeqCst), 0, "a field that may not be set");
+    instance.settled();
+}
+
+#[test]
+fn what_no_ask_matches_goes_on_or_is_refused_and_what_can_t_be_read_is_told() {
+    let folder = tempfile::tempdir().unwrap();
+    let cache = quick();
+    let lax = Instance::start(&script("", ""), store(folder.path()), &[cache.address()], cache.address());
+    let at = lax.address.to_string();
+    assert_eq!(check::check(&at, "GET", "/elsewhere", &[]).unwrap(), "passed on unplaced\n");
+    let told = check::check(&at, "GET", "/v2/q/sheet/xyz/0", &[]).unwrap();
+    assert!(told.starts_with("answered 400\n") && told.contains("nothing ran"), "{told}");
+    let folder = tempfile::tempdir().unwrap();
+    let strict = script(", strict = True, name = \"south\"", "");
+    let strict = Instance::start(&strict, store(folder.path()), &[cache.address()], cache.address());
+    let told = check::check(&strict.address.to_string(), "GET", "/elsewhere", &[]).unwrap();
+    assert!(told.starts_with("answered 404\n  proxy-status: south; error=destination_not_found"), "{told}");
+}
+
+#[test]
+fn messages_out_of_order_or_unknown_end_their_stream_with_a_clear_status_and_leak_nothing() {
+    let folder = tempfile::tempdir().unwrap();
+    let cache = quick();
+    let instance =
+        Instance::start(&script("", ""), store(folder.path()), &[cache.address()], cache.address());
+    block_on(async {
+        let wrong = [
+            (message(Request::RequestBody(HttpBody::default())), "a request body without headers"),
+            (ProcessingRequest::default(), "a message of a kind that is not known"),
+            (check::asks("GET", PATH, &[]), "request headers twice"),
+            (check::asks("GET", PATH, &[]), "request headers twice"),
+        ];
+        for (n, (message, why)) in wrong.into_iter().enumerate() {
+            let mut talk = Talk::open(&instance).await;
+            if n >= 2 {
+                talk.ask(PATH).await;
+            }
+            talk.say(message).await;
+            let status = talk.hear().await.unwrap_err();
+            assert!(status.code() == Code::InvalidArgument && status.message().contains(why), "{status:?}");
+        }
+        // Longer than any head: refused by the library, with a status of its own.
+        let mut talk = Talk::open(&instance).await;
+        talk.say(check::asks("GET", &"x".repeat(300_000), &[])).await;
+        assert_eq!(talk.hear().await.unwrap_err().code(), Code::OutOfRange);
+    })
+    .unwrap();
+    instance.settled();
+    assert_eq!(instance.serving.front.counts.faults.load(Ordering::SeqCst), 4);
+}
+
+#[test]
+fn a_caller_that_only_observes_gets_no_answers_and_nothing_is_placed() {
+    let folder = tempfile::tempdir().unwrap();
+    let cache = quick();
+    let instance =
+        Instance::start(&script("", ""), store(folder.path()), &[cache.address()], cache.address());
+    block_on(async {
+        let mut talk = Talk::open(&instance).await;
+        for mut message in [check::asks("GET", PATH, &[]), response("200", true)] {
+            message.observability_mode = true;
+            talk.say(message).await;
+        }
+        drop(std::mem::replace(&mut talk.sender, mpsc::channel(1).0));
+        assert!(talk.hear().await.unwrap().is_none(), "the stream ends without an answer");
+    })
+    .unwrap();
+    let counts = &instance.serving.front.counts;
+    assert_eq!((counts.observed.load(Ordering::SeqCst), counts.placed.load(Ordering::SeqCst)), (2, 0));
+    instance.settled();
+}
+
+#[test]
+fn a_caller_that_cancels_at_any_point_leaves_nothing_open() {
+    let folder = tempfile::tempdir().unwrap();
+    let cache = Source::start(|_| Act::give(LENGTH, Duration::from_millis(5)));
+    let instance =
+        Instance::start(&script("", ""), store(folder.path()), &[cache.address(); 2], cache.address());
+    let points =
+        [Point::BeforeAnswer, Point::BetweenAnswerAndSend, Point::DuringSend, Point::AfterResponseHeaders];
+    for (n, point) in points.into_iter().enumerate() {
+        let setup = Setup::plain(vec![instance.address]);
+        let play = move |_, _| Play { leave: Some(point), ..Play::default() };
+        let caller = Caller::new(Setup { play: Box::new(play), ..setup });
+        for object in 0..25 {
+            let key = format!("{n}-{object}");
+            let keyed = caller::Request::keyed("/records/1", "idempotency-key", &key);
+            assert!(caller.ask(&keyed).is_none() && caller.ask(&caller::Request::get(PATH)).is_none());
+        }
+        assert_eq!(caller.counts.left.load(Ordering::SeqCst), 50);
+        instance.settled();
+    }
+    // Those that came no further than the question can be asked again; what was told may be running.
+    let caller = Caller::new(Setup::plain(vec![instance.address]));
+    let told = caller.ask(&caller::Request::keyed("/records/1", "idempotency-key", "1-0")).unwrap();
+    assert_eq!(told.status, 503);
+    assert!(
+        told.field("proxy-status").contains("may have run") && told.fields.contains_key("retry-after"),
+        "{told:?}"
+    );
+}
+
+#[test]
+fn the_module_s_next_way_is_the_caller_s_next_attempt() {
+    let folder = tempfile::tempdir().unwrap();
+    // Whichever is asked first refuses untouched; the other serves.
+    let asked = Arc::new(AtomicU64::new(0));
+    let refuses_once = |asked: Arc<AtomicU64>| {
+        Source::start(move |_| match asked.fetch_add(1, Ordering::SeqCst) % 2 {
+            0 => Act::Say { status: 404, fields: String::new() },
+            _ => Act::give(LENGTH, Duration::ZERO),
+        })
+    };
+    let cache = refuses_once(asked.clone());
+    let instance =
+        Instance::start(&script("", ""), store(folder.path()), &[cache.address(); 2], cache.address());
+    let caller = Caller::new(Setup { retries: 0, ..Setup::plain(vec![instance.address]) });
+    for object in 0..10u64 {
+        let path = foldmux_standins::client::path("sheet", object, 0);
+        let answer = caller.ask(&caller::Request::get(&path)).unwrap();
+        assert!(matches!(answer.status, 200 | 503 | 504), "{answer:?}");
+    }
+    let again = caller.counts.again.load(Ordering::SeqCst);
+    assert!(again > 0 && again == instance.serving.front.counts.again.load(Ordering::SeqCst), "{again}");
+    instance.settled();
+}
+
+#[test]
+fn a_placement_whose_cache_drains_is_not_sent_after_its_time() {
+    let folder = tempfile::tempdir().unwrap();
+    // The caches' own clock: when a request comes, against how long it was good.
+    let late = Arc::new(AtomicU64::new(0));
+    let (counted, newest) = (late.clone(), Arc::new(AtomicU64::new(0)));
+    let seen = newest.clone();
+    let cache = Source::start(move |ask| {
+        let until = ask.field("x-foldmux-good-until-ms").parse::<u64>().unwrap();
+        counted.fetch_add((unix_ms() > until + 20) as u64, Ordering::SeqCst);
+        seen.fetch_max(until, Ordering::SeqCst);
+        Act::give(LENGTH, Duration::ZERO)
+    });
+    let caches = [cache.address(); 2];
+    let instance =
+        Instance::start(&script(", good_for_ms = 60", ""), store(folder.path()), &caches, cache.address());
+    // Each second attempt is sent at once, each other after the placement's time.
+    let slow = |number: u64, attempt: u32| {
+        let slow = (number + attempt as u64).is_multiple_of(2);
+        Play { slow: Duration::from_millis(if slow { 120 } else { 0 }), ..Play::default() }
+    };
+    let caller = Caller::new(Setup { play: Box::new(slow), ..Setup::plain(vec![instance.address]) });
+    for n in 0..6u32 {
+        let request = caller::Request::keyed("/records/1", "idempotency-key", &format!("d-{n}"));
+        let answer = caller.ask(&request).unwrap();
+        assert!(matches!(answer.status, 200 | 503 | 504), "{answer:?}");
+        // A cache that drains is named by no placement from then on.
+        let state = if n % 2 == 0 { State::Draining } else { State::Ready };
+        instance.tell(line(1, 0, 1, state, caches[0]));
+    }
+    assert!(caller.counts.stale.load(Ordering::SeqCst) >= 3);
+    assert_eq!(late.load(Ordering::SeqCst), 0, "sent after its time");
+    assert!(
+        newest.load(Ordering::SeqCst) < unix_ms() + 60,
+        "no placement is good for longer than it is said"
+    );
+    instance.settled();
+}
+
+#[test]
+fn a_slow_decision_asks_for_more_time_and_one_that_never_comes_is_given_up() {
+    let folder = tempfile::tempdir().unwrap();
+    let cache = quick();
+    let slow = script(", message_timeout_ms = 40, patience_ms = 400", "");
+    let mut instance = Instance::idle(&slow, store(folder.path()), &[cache.address()], cache.address());
+    block_on(async {
+        let mut talk = Talk::open(&instance).await;
+        talk.say(check::asks("GET", PATH, &[])).await;
+        let first = talk.hear().await.unwrap().unwrap();
+        assert!(first.response.is_none() && first.override_message_timeout.unwrap().nanos == 400_000_000);
+        let Some(Response::ImmediateResponse(last)) = talk.hear().await.unwrap().unwrap().response else {
+            panic!()
+        };
+        assert_eq!(last.status.unwrap().code, 504);
+        let mut talk = Talk::open(&instance).await;
+        talk.say(check::asks("GET", PATH, &[])).await;
+        assert!(talk.hear().await.unwrap().unwrap().response.is_none());
+        instance.run();
+        let response = talk.hear().await.unwrap().unwrap().response.unwrap();
+        assert!(placed(&response, "x-foldmux-cache").is_some());
+    })
+    .unwrap();
+    instance.settled();
+}
+
+#[test]
+fn two_thousand_idle_streams_a_slow_reader_and_a_flood_hold_nobody_up() {
+    let folder = tempfile::tempdir().unwrap();
+    let cache = quick();
+    let wide = script(", streams = 2200", "");
+    let instance = Instance::start(&wide, store(folder.path()), &[cache.address(); 2], cache.address());
+    block_on(async {
+        let mut idle = Vec::new();
+        for _ in 0..20 {
+            let mut client = client(&instance).await;
+            for _ in 0..100 {
+                idle.push(Talk::on(&mut client).await);
+            }
+        }
+        // One sends and never reads an answer: what it may send ahead is bounded, and so is what waits for it.
+        let slow = Talk::open(&instance).await;
+        let mut first = check::asks("GET", PATH, &[]);
+        if let Some(Request::RequestHeaders(headers)) = &mut first.request {
+            headers.end_of_stream = false;
+        }
+        slow.say(first).await;
+        let mut sent = 0;
+        let flood = message(Request::RequestBody(HttpBody { body: vec![0; 10_000], ..HttpBody::default() }));
+        while sent < 10_000
+            && tokio::time::timeout(Duration::from_millis(200), slow.sender.send(flood.clone())).await.is_ok()
+        {
+            sent += 1;
+        }
+        // Another floods one stream with messages that are out of order.
+        let mut flooder = Talk::open(&instance).await;
+        flooder.say(check::asks("GET", PATH, &[])).await;
+        while flooder.sender.send(flood.clone()).await.is_ok() {}
+        let ended = async { while let Ok(Some(_)) = flooder.hear().await {} };
+        ended.await;
+        assert_eq!(instance.serving.front.open.load(Ordering::SeqCst), 2_001, "all but the flood's");
+        // Others are served as ever.
+        for _ in 0..200 {
+            let mut talk = Talk::open(&instance).await;
+            assert!(placed(&talk.ask(PATH).await, "x-foldmux-cache").is_some());
+            talk.say(response("200", true)).await;
+            talk.hear().await.unwrap().unwrap();
+        }
+    })
+    .unwrap();
+    instance.settled();
+}
+
+#[test]
+fn streams_beyond_the_bound_are_answered_429_and_those_far_beyond_not_at_all() {
+    let folder = tempfile::tempdir().unwrap();
+    let cache = quick();
+    let narrow = script(", streams = 3, connections = 8", "");
+    let instance = Instance::start(&narrow, store(folder.path()), &[cache.address()], cache.address());
+    block_on(async {
+        let mut held = Vec::new();
+        for _ in 0..3 {
+            let mut talk = Talk::open(&instance).await;
+            talk.ask(PATH).await;
+            held.push(talk);
+        }
+        let mut over = Talk::open(&instance).await;
+        let Response::ImmediateResponse(now) = over.ask(PATH).await else { panic!() };
+        assert_eq!(now.status.unwrap().code, 429);
+        for _ in 0..3 {
+            held.push(Talk::open(&instance).await);
+        }
+        let status = Talk::open(&instance).await.hear().await.unwrap_err();
+        assert_eq!(status.code(), Code::ResourceExhausted);
+    })
+    .unwrap();
+    instance.settled();
+}
+
+#[test]
+fn a_front_that_leaves_ends_its_streams_in_their_order_and_loses_no_placement() {
+    let folder = tempfile::tempdir().unwrap();
+    let cache = quick();
+    let mut instance =
+        Instance::start(&script("", ""), store(folder.path()), &[cache.address()], cache.address());
+    let address = instance.address;
+    let (ready, go) = std::sync::mpsc::channel();
+    let open = {
+        let at = address;
+        std::thread::spawn(move || {
+            block_on(async {
+                let mut client = ExternalProcessorClient::connect(format!("http://{at}")).await.unwrap();
+                let mut talks = Vec::new();
+                for _ in 0..8 {
+                    let mut talk = Talk::on(&mut client).await;
+                    assert!(placed(&talk.ask(PATH).await, "x-foldmux-cache").is_some());
+                    talks.push(talk);
+                }
+                ready.send(()).unwrap();
+                // The front is told to leave meanwhile; its decisions stand, and their ends are heard.
+                until("the front takes no more", || std::net::TcpStream::connect(at).is_err());
+                for talk in &mut talks {
+                    talk.say(response("200", true)).await;
+                    assert!(matches!(
+                        talk.hear().await.unwrap().unwrap().response,
+                        Some(Response::ResponseHeaders(_))
+                    ));
+                    drop(std::mem::replace(&mut talk.sender, mpsc::channel(1).0));
+                    assert!(talk.hear().await.unwrap().is_none());
+                }
+                // What comes on the old connection now is told to go elsewhere.
+                let (_sender, messages) = mpsc::channel::<ProcessingRequest>(1);
+                assert!(client.process(ReceiverStream::new(messages)).await.is_err());
+            })
+            .unwrap();
+        })
+    };
+    go.recv_timeout(PATIENCE).unwrap();
+    assert!(instance.serving.leave(PATIENCE), "all streams ended in their order");
+    open.join().unwrap();
+    let tally = instance.core.tally.line().unwrap();
+    assert!(tally.contains("ok 8") && tally.contains("served 8") && !tally.contains("cancelled"), "{tally}");
+    instance.settled();
+}
--- a/fronts/src/dns/mod.rs
+++ b/fronts/src/dns/mod.rs
@@ -4,10 +4,9 @@
 pub mod names;
 pub mod notify;
 pub mod server;
-pub mod spiffe;
 
 use foldmux::interface::{State, Time};
-use foldmux_core::request::{place, Placed};
+use foldmux_core::lent::{place, Placed};
 use foldmux_core::{Core, Inquiry};
 use hickory_proto::op::{Edns, Header, Message, MessageType, OpCode, Query, ResponseCode};
 use hickory_proto::rr::rdata::opt::EdnsOption;
@@ -152,8 +151,10 @@
             body: None,
             arrived: Instant::now(),
             budget: self.patience,
+            within: None,
         };
-        let placed = place(&self.core, &inquiry, self.lease, |cache, source, fetch| {
+        let placed = place(&self.core, &inquiry, self.lease, |way| {
+            let (cache, source, fetch) = (&way.cache, way.source.as_ref(), &way.fetch);
             let name = query.name().clone();
             let record = |data| Record::from_rdata(name.clone(), 0, data);
             let node = names::node(&cache.name, &self.zone);
--- a/fronts/src/dns/server.rs
+++ b/fronts/src/dns/server.rs
@@ -1,7 +1,6 @@
 //! The DNS front's sockets: UDP, TCP and DNS over TLS, set up by the operator's file.
 
 use super::notify::Notifier;
-use super::spiffe::{Files, Identity};
 use super::Dns as Front;
 use crate::listen::{accept, named, READER_STACK};
 use crate::places::{Place, Places};
@@ -9,6 +8,7 @@
 use foldmux::interface::Time;
 use foldmux_core::desk::Desk;
 use foldmux_core::Core;
+use foldmux_identity::{Files, Identity};
 use foldmux_operator::Dns;
 use hickory_proto::rr::Name;
 use rustls::{ServerConnection, StreamOwned};
@@ -51,7 +51,7 @@
         let tls = match &setup.tls {
             Some(tls) => {
                 let [svid, key, bundle] = [&tls.svid, &tls.key, &tls.bundle].map(PathBuf::from);
-                let identity = Identity::load(Files { svid, key, bundle }, tls.allowed.clone());
+                let identity = Identity::load(Files { svid, key, bundle }, tls.allowed.clone(), b"dot");
                 Some((listen(&tls.listen)?, identity.map_err(|e| format!("DNS front: {e}"))?))
             }
             None => None,
--- a/fronts/src/msgpack/mod.rs
+++ b/fronts/src/msgpack/mod.rs
@@ -150,6 +150,7 @@
             body: call.body,
             arrived,
             budget: budget.saturating_sub(WAYS).max(1),
+            within: None,
         };
         let reply = Answering { connection: connection.clone(), id, deadline, done: false };
         self.core.start(inquiry, slot, Box::new(reply));
--- a/identity/src/lib.rs
+++ b/identity/src/lib.rs
@@ -1,5 +1,7 @@
-//! Identities for DNS over TLS: this side shows an X.509-SVID, and the peer's must chain to the bundle and carry
-//! an allowed SPIFFE ID. The files are read again when they have changed, as an agent rotates them.
+//! Identities of the fronts: this side shows an X.509-SVID, and the peer's must chain to the bundle and carry an
+//! allowed SPIFFE ID. The files are read again when they have changed, as an agent rotates them.
+//!
+//! Owns: what was read of the files, and the TLS settings made of it. May not: open a socket, or know which front asks.
 
 use rustls::pki_types::pem::PemObject;
 use rustls::pki_types::{CertificateDer, PrivateKeyDer};
@@ -24,17 +26,19 @@
 
 pub struct Identity {
     files: Files,
+    /// The protocol that is spoken, as ALPN names it (RFC 7301).
+    protocol: &'static [u8],
     allowed: Vec<String>,
     held: Mutex<(Stamp, Arc<ServerConfig>)>,
 }
 
 impl Identity {
-    pub fn load(files: Files, allowed: Vec<String>) -> Result<Identity, String> {
+    pub fn load(files: Files, allowed: Vec<String>, protocol: &'static [u8]) -> Result<Identity, String> {
         if let Some(odd) = allowed.iter().find(|id| !id.starts_with("spiffe://")) {
             return Err(format!("{odd:?} is no SPIFFE ID"));
         }
-        let held = Mutex::new((files.stamp(), files.read()?));
-        Ok(Identity { files, allowed, held })
+        let held = Mutex::new((files.stamp(), files.read(protocol)?));
+        Ok(Identity { files, protocol, allowed, held })
     }
 
     /// The TLS settings for the next connection. Guards against a rotation that is half done: until the files
@@ -43,7 +47,7 @@
         let mut held = self.held.lock().unwrap_or_else(PoisonError::into_inner);
         let stamp = self.files.stamp();
         if stamp != held.0 {
-            match self.files.read() {
+            match self.files.read(self.protocol) {
                 Ok(config) => *held = (stamp, config),
                 Err(why) => tracing::warn!("SVID or bundle: {why}; the former ones serve on"),
             }
@@ -66,7 +70,7 @@
         })
     }
 
-    fn read(&self) -> Result<Arc<ServerConfig>, String> {
+    fn read(&self, protocol: &'static [u8]) -> Result<Arc<ServerConfig>, String> {
         let of = |path: &PathBuf, why: String| format!("{}: {why}", path.display());
         let certs = |path: &PathBuf| {
             let all = CertificateDer::pem_file_iter(path).and_then(Iterator::collect::<Result<Vec<_>, _>>);
@@ -86,7 +90,7 @@
             .with_client_cert_verifier(verifier)
             .with_single_cert(certs(&self.svid)?, key)
             .map_err(|e| of(&self.svid, e.to_string()))?;
-        config.alpn_protocols = vec![b"dot".to_vec()];
+        config.alpn_protocols = vec![protocol.to_vec()];
         Ok(Arc::new(config))
     }
 }
--- a/lab/src/model.rs
+++ b/lab/src/model.rs
@@ -590,6 +590,7 @@
             size_kb,
             budget: DEADLINE,
             lease: 0,
+            within: None,
         };
         self.tell(edge, foldmux::interface::Event::Request(ask));
     }
--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod script;
 pub mod values;
 
-pub use values::{Dns, Hierarchy, Operator, Relay, Tls};
+pub use values::{AskRule, Dns, Durable, ExtProc, Hierarchy, LedgerFile, Operator, Relay, Tls, TokenKey};
 
 use std::path::Path;
 
--- a/operator/src/script.rs
+++ b/operator/src/script.rs
@@ -3,7 +3,9 @@
 // Each argument of a function is a named setting of the file.
 #![allow(clippy::too_many_arguments)]
 
-use crate::values::{Dns, Hierarchy, Operator, Place, Relay, Tls};
+use crate::values::{
+    AskRule, Dns, Durable, ExtProc, Hierarchy, LedgerFile, Operator, Place, Relay, Tls, TokenKey,
+};
 use anyhow::{anyhow, bail};
 use foldmux_hierarchy::cold::Rule;
 use foldmux_hierarchy::tree::{Draft, Kind, Proposed, Tree};
@@ -42,6 +44,11 @@
     /// Where each node was named first.
     lines: HashMap<String, String>,
     cold: Option<Rule>,
+    asks: Vec<AskRule>,
+    keys: Vec<TokenKey>,
+    ledger: Option<LedgerFile>,
+    /// Where the external processor is set, and what it is still without its parts.
+    ext_proc: Option<(String, ExtProc)>,
     operator: Operator,
 }
 
@@ -96,7 +103,17 @@
 
 /// What only the whole file shows: the tree, and whether its parts fit together.
 fn finish(name: &str, sets: Sets) -> Result<Operator, Vec<String>> {
-    let Sets { head, nodes, places, lines, cold, mut operator } = sets;
+    let Sets { head, nodes, places, lines, cold, asks, keys, ledger, ext_proc, mut operator } = sets;
+    match ext_proc {
+        Some((at, own)) => {
+            let whole = ExtProc { asks, keys, ledger, ..own };
+            let checked =
+                valid(whole).and_then(|own| own.fits().map(|()| own).map_err(|why| anyhow!("{why}")));
+            operator.ext_proc = Some(checked.map_err(|why| vec![format!("{at}: {why}")])?);
+        }
+        None if asks.is_empty() && keys.is_empty() && ledger.is_none() => {}
+        None => return Err(vec![format!("{name}: ask, token_key and ledger need an ext_proc")]),
+    }
     let Some(head) = head else {
         let orphan = nodes.first().map(|n| n.name.as_str());
         return match (orphan, &operator.relay) {
@@ -176,6 +193,17 @@
     })
 }
 
+fn few<T>(list: impl FnOnce(&mut Sets) -> &mut Vec<T>, value: T, what: &str) -> anyhow::Result<NoneType> {
+    SETS.with_borrow_mut(|sets| {
+        let list = list(sets);
+        if list.len() >= 256 {
+            bail!("more than 256 {what}");
+        }
+        list.push(value);
+        Ok(NoneType)
+    })
+}
+
 fn node(eval: &Evaluator, proposed: Proposed, place: Place) -> anyhow::Result<NoneType> {
     let at = here(eval);
     SETS.with_borrow_mut(|sets| {
@@ -327,6 +355,101 @@
         dns.listens().map_err(|why| anyhow!("{why}"))?;
         once(|s| &mut s.operator.dns, dns, "dns")
     }
+
+    /// The external processor: on where it is called.
+    fn ext_proc(
+        #[starlark(require = named)] listen: &str,
+        #[starlark(require = named, default = "")] svid: &str,
+        #[starlark(require = named, default = "")] key: &str,
+        #[starlark(require = named, default = "")] bundle: &str,
+        #[starlark(require = named, default = UnpackList::default())] allowed: UnpackList<String>,
+        #[starlark(require = named, default = "foldmux")] name: &str,
+        #[starlark(require = named, default = 64i64)] connections: i64,
+        #[starlark(require = named, default = 2_048i64)] streams: i64,
+        #[starlark(require = named, default = 2i64)] threads: i64,
+        #[starlark(require = named, default = 500i64)] patience_ms: i64,
+        #[starlark(require = named, default = 200i64)] message_timeout_ms: i64,
+        #[starlark(require = named, default = 200i64)] good_for_ms: i64,
+        #[starlark(require = named, default = 300_000i64)] idle_ms: i64,
+        #[starlark(require = named, default = 60_000i64)] overlap_ms: i64,
+        #[starlark(require = named, default = true)] again: bool,
+        #[starlark(require = named, default = false)] strict: bool,
+        eval: &mut Evaluator,
+    ) -> anyhow::Result<NoneType> {
+        let listen = address("listen", listen)?;
+        let (svid, key, bundle) = (svid.to_string(), key.to_string(), bundle.to_string());
+        let secured = [&svid, &key, &bundle].iter().any(|file| !file.is_empty()) || !allowed.items.is_empty();
+        let tls = secured.then_some(Tls { listen, svid, key, bundle, allowed: allowed.items });
+        let own = ExtProc {
+            listen,
+            tls,
+            name: name.to_string(),
+            connections: whole("connections", connections)?,
+            streams: whole("streams", streams)?,
+            threads: whole("threads", threads)?,
+            patience_ms: whole("patience_ms", patience_ms)?,
+            message_timeout_ms: whole("message_timeout_ms", message_timeout_ms)?,
+            good_for_ms: whole("good_for_ms", good_for_ms)?,
+            idle_ms: whole("idle_ms", idle_ms)?,
+            overlap_ms: whole("overlap_ms", overlap_ms)?,
+            again,
+            strict,
+            asks: Vec::new(),
+            keys: Vec::new(),
+            ledger: None,
+        };
+        let at = here(eval);
+        once(|s| &mut s.ext_proc, (at, own), "ext_proc")
+    }
+
+    /// Which requests of the external processor's callers ask for a class.
+    fn ask(
+        class: &str,
+        #[starlark(require = named)] path: &str,
+        #[starlark(require = named, default = "GET")] method: &str,
+        #[starlark(require = named, default = NoneOr::None)] key: NoneOr<&str>,
+        #[starlark(require = named, default = false)] rewrite: bool,
+    ) -> anyhow::Result<NoneType> {
+        let rule = valid(AskRule {
+            class: class.to_string(),
+            method: method.to_string(),
+            path: path.to_string(),
+            key: key.into_option().map(str::to_ascii_lowercase),
+            rewrite,
+        })?;
+        few(|s| &mut s.asks, rule, "asks")
+    }
+
+    /// A key that signs the tokens of attempts; the last one signs, those before it are believed for a while.
+    fn token_key(
+        #[starlark(require = named)] number: i64,
+        #[starlark(require = named)] secret: &str,
+    ) -> anyhow::Result<NoneType> {
+        let number = u8::try_from(number).map_err(|_| anyhow!("number: {number} is not within 0 to 255"))?;
+        few(|s| &mut s.keys, valid(TokenKey { number, secret: secret.to_string() })?, "token keys")
+    }
+
+    /// Where the external processor keeps what it knows of keyed attempts.
+    fn ledger(
+        file: &str,
+        #[starlark(require = named, default = 100_000i64)] entries: i64,
+        #[starlark(require = named, default = "group")] durable: &str,
+        #[starlark(require = named, default = 60_000i64)] remember_ms: i64,
+    ) -> anyhow::Result<NoneType> {
+        let durable = match durable {
+            "group" => Durable::Group,
+            "each" => Durable::Each,
+            "behind" => Durable::Behind,
+            other => bail!("durable: {other:?} is none of group, each and behind"),
+        };
+        let own = valid(LedgerFile {
+            file: file.to_string(),
+            entries: whole("entries", entries)?,
+            durable,
+            remember_ms: whole("remember_ms", remember_ms)?,
+        })?;
+        once(|s| &mut s.ledger, own, "ledger")
+    }
 }
 
 #[cfg(test)]
@@ -381,6 +504,23 @@
                 "dns(zone = \"r.\", udp = \"127.0.0.1:0\", lease_ms = -1)",
                 "a.star:8: lease_ms: -1 is negative",
             ),
+            (
+                "ext_proc(listen = \"10.0.0.1:9\")\nask(\"a\", path = \"/{object}\")",
+                "a.star:8: 10.0.0.1:9 is no loopback address",
+            ),
+            ("ext_proc(listen = \"127.0.0.1:9\")", "a.star:8: asks: length is lower than 1"),
+            ("ask(\"a\", path = \"x\")", "a.star:8: path: "),
+            ("ask(\"a\", path = \"/x\")", "a.star: ask, token_key and ledger need an ext_proc"),
+            ("ledger(\"l\", durable = \"no\")", "a.star:8: durable: \"no\" is none of"),
+            ("token_key(number = 1, secret = \"short\")", "a.star:8: secret: "),
+            (
+                "ext_proc(listen = \"127.0.0.1:9\", good_for_ms = 300)\nask(\"a\", path = \"/x\")",
+                "a.star:8: good_for_ms: ",
+            ),
+            (
+                "ext_proc(listen = \"127.0.0.1:9\")\nask(\"a\", path = \"/x\")\nledger(\"l\")",
+                "a.star:8: a ledger without a token_key",
+            ),
             ("open(\"/etc/passwd\")", "a.star:8: "),
             ("load(\"b.star\", \"b\")", "a.star:8: "),
             ("x = 1 +", "a.star:8: "),
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -18,6 +18,8 @@
   foldmux hub --operator FILE --name NODE                  serve as a hub of the operator's tree; SIGHUP rewires
   foldmux check-config [--config FILE] [--operator FILE]   read either or both and say what they hold
   foldmux plan OLD NEW                                     what a rewiring would move, and whether it is taken
+  foldmux extproc-check ADDRESS [--method M] [--path P] [--header NAME:VALUE]...
+                                                           ask a running external processor for one decision
   foldmux version
   foldmux help
 
@@ -33,6 +35,7 @@
     Hub,
     Check,
     Plan,
+    Ask,
     Version,
     Help,
 }
@@ -44,6 +47,10 @@
     operator: Option<PathBuf>,
     name: Option<String>,
     files: Vec<PathBuf>,
+    /// Of the request that `extproc-check` asks about.
+    method: String,
+    path: String,
+    headers: Vec<(String, String)>,
     form: Form,
     level: Option<String>,
 }
@@ -63,6 +70,8 @@
     let (mut command, mut config, mut name, mut level) = (None, None, None, None);
     let mut operator = std::env::var_os("FOLDMUX_OPERATOR").map(PathBuf::from);
     let (mut files, mut form) = (Vec::new(), Form::Plain);
+    let (mut method, mut path) = ("GET".to_string(), "/v2/q/formula-card/0000000000000001/0".to_string());
+    let mut headers = Vec::new();
     let said = |e: lexopt::Error| e.to_string();
     let word = |value: OsString| value.into_string().map_err(|v| format!("{v:?} is no text"));
     while let Some(arg) = parser.next().map_err(said)? {
@@ -73,12 +82,24 @@
                     "hub" => Command::Hub,
                     "check-config" => Command::Check,
                     "plan" => Command::Plan,
+                    "extproc-check" => Command::Ask,
                     "version" => Command::Version,
                     "help" => Command::Help,
                     other => return Err(format!("no command {other:?}; see foldmux help")),
                 });
             }
             Arg::Value(file) if command == Some(Command::Plan) && files.len() < 2 => files.push(file.into()),
+            Arg::Value(place) if command == Some(Command::Ask) && files.is_empty() => {
+                files.push(place.into())
+            }
+            Arg::Long("method") => method = word(parser.value().map_err(said)?)?,
+            Arg::Long("path") => path = word(parser.value().map_err(said)?)?,
+            Arg::Long("header") => {
+                let text = word(parser.value().map_err(said)?)?;
+                let (name, value) =
+                    text.split_once(':').ok_or_else(|| format!("{text:?} is no NAME:VALUE"))?;
+                headers.push((name.to_string(), value.trim().to_string()));
+            }
             Arg::Long("config") => config = Some(parser.value().map_err(said)?),
             Arg::Long("operator") => operator = Some(parser.value().map_err(said)?.into()),
             Arg::Long("name") => name = Some(word(parser.value().map_err(said)?)?),
@@ -90,11 +111,11 @@
         }
     }
     let command = command.ok_or("no command; see foldmux help")?;
-    Ok(Line { command, config, operator, name, files, form, level })
+    Ok(Line { command, config, operator, name, files, method, path, headers, form, level })
 }
 
 fn run(line: Line) -> Result<(), String> {
-    let Line { command, config, operator, name, files, form, level } = line;
+    let Line { command, config, operator, name, files, method, path, headers, form, level } = line;
     match command {
         Command::Help => println!("{USAGE}"),
         Command::Version => println!("foldmux {}", env!("CARGO_PKG_VERSION")),
@@ -105,6 +126,13 @@
             };
             tell(&tree(old)?, &tree(new)?)?;
         }
+        Command::Ask => {
+            let [place] = &files[..] else {
+                return Err("extproc-check wants an address; see foldmux help".to_string());
+            };
+            let place = place.to_string_lossy();
+            print!("{}", foldmux_extproc::check::check(&place, &method, &path, &headers)?);
+        }
         Command::Serve => {
             let file = place(config)?;
             let config = config::read(&file)?;
@@ -164,6 +192,10 @@
         }
     }
     held.relay.iter().for_each(|relay| println!("  relay: {relay:?}"));
+    match &held.ext_proc {
+        None => println!("  ext_proc: off"),
+        Some(own) => println!("  ext_proc: {own:?}"),
+    }
     match &held.dns {
         None => println!("  dns: off"),
         Some(dns) => {
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -9,6 +9,8 @@
 use foldmux_core::clock::{span, Clock};
 use foldmux_core::members::Members;
 use foldmux_core::{Core, Desk};
+use foldmux_extproc::life::Class as Processed;
+use foldmux_extproc::serve::{Bound as Processor, Serving};
 use foldmux_fronts::dns::server::Bound;
 use foldmux_fronts::listen::{accept, named, READER_STACK};
 use foldmux_fronts::msgpack::{Front, Taken};
@@ -42,6 +44,7 @@
     let decoded = config.decoded;
     let (own_file, operator) = operator.map_or((None, Operator::default()), |(file, o)| (Some(file), o));
     let dns = operator.dns.map(Bound::new).transpose()?;
+    let processor = operator.ext_proc.map(|setup| Processor::new(setup, processed(&decoded))).transpose()?;
     let zones = Zones {
         names: decoded.zones.clone(),
         own: decoded.settings.zone,
@@ -59,6 +62,7 @@
     };
     let taken: Vec<Taken> = classes.iter().zip(&decoded.settings.classes).map(served).collect();
     let writes: Vec<bool> = decoded.settings.classes.iter().map(|c| c.pass_on).collect();
+    let attempts = decoded.settings.max_attempts;
     let router = Router::new(decoded.settings, config.seed);
     let (mut desk, handle) = Desk::new(router, clock.clone(), members.clone());
     let connections = pool.clone();
@@ -96,6 +100,15 @@
     let followed = service.clone();
     named("journal", 512 * 1024, move || journal.follow(&followed))?;
 
+    let mut processor = match processor {
+        Some(processor) => {
+            let on = processor.address()?;
+            let serving = processor.serve(core.clone(), attempts, listed.clone())?;
+            tracing::info!("external processor on {on}");
+            Some(serving)
+        }
+        None => None,
+    };
     let listener =
         TcpListener::bind(config.listen).map_err(|e| format!("listening on {}: {e}", config.listen))?;
     let on = listener.local_addr().map_err(|e| e.to_string())?;
@@ -123,6 +136,13 @@
         if let (Some(live), Some(own_file)) = (&mut live, own_file) {
             tracing::info!("rewire: {}", told(rewire(own_file, live)));
         }
+        if let (Some(serving), Some(own_file)) = (&processor, own_file) {
+            tracing::info!("token keys: {}; {}", told(rekey(own_file, serving)), serving.line());
+        }
+    }
+    if let Some(mut serving) = processor.take() {
+        let ended = serving.leave(LONGEST);
+        tracing::info!("external processor: {}; all streams ended: {ended}", serving.line());
     }
     leave(&core, &leaving);
     Ok(())
@@ -144,6 +164,26 @@
     live.take(&hierarchy)
 }
 
+/// Reads the operator's file again and takes its keys for tokens.
+fn rekey(file: &Path, serving: &Serving) -> Result<String, String> {
+    let operator = foldmux_operator::load(file).map_err(|faults| faults.join("; "))?;
+    let own = operator.ext_proc.ok_or_else(|| format!("{}: no ext_proc", file.display()))?;
+    let keys: Vec<(u8, &[u8])> = own.keys.iter().map(|key| (key.number, key.secret.as_bytes())).collect();
+    serving.front.keeper.change(&keys);
+    Ok(keys.last().map_or("none".to_string(), |(number, _)| format!("{number} signs")))
+}
+
+/// The classes, as the external processor serves them.
+pub fn processed(decoded: &foldmux_settings::Decoded) -> Vec<Processed> {
+    let class = |(name, class): (&String, &Class)| Processed {
+        name: name.as_str().into(),
+        repeat: class.repeat,
+        window: class.repeat_window,
+        longest: class.deadline,
+    };
+    decoded.classes.iter().zip(&decoded.settings.classes).map(class).collect()
+}
+
 /// Serves on for a while, answers what was taken, and returns.
 fn leave(core: &Core, leaving: &AtomicBool) {
     leaving.store(true, Ordering::SeqCst);
--- a/proxy/tests/dns.rs
+++ b/proxy/tests/dns.rs
@@ -10,16 +10,15 @@
 use foldmux_core::{Core, Desk};
 use foldmux_fronts::dns::server::Bound;
 use foldmux_operator::script::evaluate;
+use foldmux_standins::issuer::{Authority, Svid};
 use foldmux_upstream::{pool::Pool, Upstream};
 use hickory_proto::op::{Message, MessageType, OpCode, Query, ResponseCode};
 use hickory_proto::rr::rdata::opt::{EdnsCode, EdnsOption};
 use hickory_proto::rr::{Name, RData, RecordType};
-use rustls::pki_types::pem::PemObject;
-use rustls::pki_types::{CertificateDer, PrivateKeyDer, ServerName};
+use rustls::pki_types::ServerName;
 use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream, UdpSocket};
-use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -261,45 +260,9 @@
     );
 }
 
-/// A certificate authority of a trust domain, and the SVIDs that it gives out.
-struct Authority(rcgen::Certificate, rcgen::KeyPair);
-
-impl Authority {
-    fn new() -> Authority {
-        let key = rcgen::KeyPair::generate().unwrap();
-        let mut params = rcgen::CertificateParams::default();
-        params.is_ca = rcgen::IsCa::Ca(rcgen::BasicConstraints::Unconstrained);
-        Authority(params.self_signed(&key).unwrap(), key)
-    }
-
-    fn svid(&self, ids: &[&str]) -> (String, String) {
-        let key = rcgen::KeyPair::generate().unwrap();
-        let mut params = rcgen::CertificateParams::new(vec!["localhost".to_string()]).unwrap();
-        params.subject_alt_names.extend(ids.iter().map(|id| rcgen::SanType::URI((*id).try_into().unwrap())));
-        (params.signed_by(&key, &self.0, &self.1).unwrap().pem(), key.serialize_pem())
-    }
-}
-
-fn lay(folder: &Path, authority: &Authority) {
-    let (svid, key) = authority.svid(&["spiffe://colour.example/foldmux"]);
-    for (name, text) in [("svid.pem", svid), ("key.pem", key), ("bundle.pem", authority.0.pem())] {
-        std::fs::write(folder.join(name), text).unwrap();
-    }
-}
-
-fn over_tls(rig: &Rig, trusted: &Authority, shown: &(String, String)) -> std::io::Result<Message> {
-    let provider = Arc::new(rustls::crypto::ring::default_provider());
-    let mut roots = rustls::RootCertStore::empty();
-    roots.add(trusted.0.der().clone()).unwrap();
-    let chain = CertificateDer::pem_slice_iter(shown.0.as_bytes()).collect::<Result<Vec<_>, _>>().unwrap();
-    let config = rustls::ClientConfig::builder_with_provider(provider)
-        .with_safe_default_protocol_versions()
-        .unwrap()
-        .with_root_certificates(roots)
-        .with_client_auth_cert(chain, PrivateKeyDer::from_pem_slice(shown.1.as_bytes()).unwrap())
-        .unwrap();
+fn over_tls(rig: &Rig, trusted: &Authority, shown: &Svid) -> std::io::Result<Message> {
     let name = ServerName::try_from("localhost").unwrap();
-    let connection = rustls::ClientConnection::new(Arc::new(config), name).unwrap();
+    let connection = rustls::ClientConnection::new(trusted.peer(shown, &[]), name).unwrap();
     let stream = common::connected(TcpStream::connect(rig.at[2].unwrap())?);
     over_tcp(rustls::StreamOwned::new(connection, stream), &rig.query(&rig.part(0), RecordType::A))
 }
@@ -309,7 +272,7 @@
     let folder = std::env::temp_dir().join(format!("foldmux-svid-{}", std::process::id()));
     std::fs::create_dir_all(&folder).unwrap();
     let (old, new) = (Authority::new(), Authority::new());
-    lay(&folder, &old);
+    old.lay(&folder, "spiffe://colour.example/foldmux");
     let at = |name: &str| folder.join(name).display().to_string();
     let tls = format!(
         r#", tls = "127.0.0.1:0", svid = "{}", key = "{}", bundle = "{}",
@@ -329,7 +292,7 @@
     // Half a rotation leaves what was held; a whole one is taken up, and the former bundle is void.
     std::fs::write(folder.join("svid.pem"), "half").unwrap();
     assert!(over_tls(&rig, &old, &old.svid(&resolver)).is_ok());
-    lay(&folder, &new);
+    new.lay(&folder, "spiffe://colour.example/foldmux");
     assert!(over_tls(&rig, &new, &new.svid(&resolver)).is_ok());
     assert!(over_tls(&rig, &new, &old.svid(&resolver)).is_err());
     std::fs::remove_dir_all(&folder).unwrap();
--- a/repeats/src/ledger.rs
+++ b/repeats/src/ledger.rs
@@ -4,7 +4,7 @@
 
 use crate::token::{Mark, Token};
 use crate::Millis;
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::fmt;
 
 /// What a class allows of its keyed requests.
@@ -35,6 +35,8 @@
     Running {
         until: Millis,
     },
+    /// Another request under this key is being placed this moment.
+    Deciding,
     /// One may have run, and the archive no longer drops a repeat.
     WindowOver,
     TooMany,
@@ -48,7 +50,7 @@
 impl Refusal {
     /// Whether an attempt of this key may have run: the refusal must not tell the client that nothing did.
     pub fn may_have_run(self) -> bool {
-        !matches!(self, Refusal::Full | Refusal::OtherKey)
+        !matches!(self, Refusal::Full | Refusal::OtherKey | Refusal::Deciding)
     }
 }
 
@@ -56,6 +58,7 @@
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         match self {
             Refusal::Running { until } => write!(f, "an attempt may be running until {until}"),
+            Refusal::Deciding => f.write_str("another request under this key is being placed"),
             Refusal::WindowOver => f.write_str("an attempt may have run, and a repeat would run again"),
             Refusal::TooMany => f.write_str("all attempts are used"),
             Refusal::Replayed => f.write_str("the token's attempt has been followed by another"),
@@ -88,16 +91,72 @@
     pub forget_at: Millis,
 }
 
+/// Version and length of an entry as it is stored.
+const STORED: u8 = 1;
+pub const STORED_LENGTH: usize = 2 + 8 * 4 + 4 * 2 + 1;
+
+impl Entry {
+    pub fn to_bytes(&self) -> [u8; STORED_LENGTH] {
+        let (ran, first, ran_group) = self.ran.map_or((0, 0, 0), |(at, group)| (2, at, group));
+        let mut bytes = [0; STORED_LENGTH];
+        let parts: [&[u8]; 7] = [
+            &[STORED, self.attempt, self.out as u8 | ran],
+            &self.quiet_at.to_be_bytes(),
+            &first.to_be_bytes(),
+            &ran_group.to_be_bytes(),
+            &self.group.to_be_bytes(),
+            &self.handed.to_be_bytes(),
+            &self.forget_at.to_be_bytes(),
+        ];
+        let mut at = 0;
+        for part in parts {
+            bytes[at..at + part.len()].copy_from_slice(part);
+            at += part.len();
+        }
+        bytes
+    }
+
+    /// None where it is not what [`Entry::to_bytes`] made.
+    pub fn from_bytes(bytes: &[u8]) -> Option<Entry> {
+        let bytes: &[u8; STORED_LENGTH] = bytes.try_into().ok()?;
+        let long = |at: usize| u64::from_be_bytes(bytes[at..at + 8].try_into().expect("8 bytes"));
+        let short = |at: usize| u32::from_be_bytes(bytes[at..at + 4].try_into().expect("4 bytes"));
+        let flags = bytes[2];
+        if bytes[0] != STORED || flags > 3 {
+            return None;
+        }
+        Some(Entry {
+            attempt: bytes[1],
+            out: flags & 1 != 0,
+            quiet_at: long(3),
+            ran: (flags & 2 != 0).then(|| (long(11), short(19))),
+            group: short(23),
+            handed: long(27),
+            forget_at: long(35),
+        })
+    }
+}
+
 pub struct Ledger {
     most: usize,
     entries: HashMap<Mark, Entry>,
     /// When each is forgotten, soonest first.
     ends: BTreeSet<(Millis, Mark)>,
+    /// Keys whose next attempt is being placed: asked about, and neither handed out nor let go yet.
+    asked: HashSet<Mark>,
+    /// Keys that were forgotten since somebody asked for them, for whoever keeps a store.
+    forgotten: Vec<Mark>,
 }
 
 impl Ledger {
     pub fn new(most: usize) -> Ledger {
-        Ledger { most, entries: HashMap::new(), ends: BTreeSet::new() }
+        Ledger {
+            most,
+            entries: HashMap::new(),
+            ends: BTreeSet::new(),
+            asked: HashSet::new(),
+            forgotten: Vec::new(),
+        }
     }
 
     /// As a store kept it, after a crash: what was out may have run, and may be running for as long as it could.
@@ -115,6 +174,16 @@
         self.entries.is_empty()
     }
 
+    /// How many keys are being placed.
+    pub fn asked(&self) -> usize {
+        self.asked.len()
+    }
+
+    /// The keys that have been forgotten since the last call.
+    pub fn forgotten(&mut self) -> Vec<Mark> {
+        std::mem::take(&mut self.forgotten)
+    }
+
     pub fn get(&self, key: Mark) -> Option<&Entry> {
         self.entries.get(&key)
     }
@@ -126,8 +195,8 @@
         self.ends.insert((entry.forget_at, key));
     }
 
-    /// Whether an attempt of a key may be handed out. Nothing is written yet: [`Ledger::hand`] does that, once it is
-    /// known where the attempt goes and the entry is stored.
+    /// Whether an attempt of a key may be handed out. Nothing is written yet: whoever was granted one owes
+    /// [`Ledger::hand`], once it is known where the attempt goes, or [`Ledger::let_go`]. Until then the key is taken.
     pub fn ask(
         &mut self,
         now: Millis,
@@ -138,7 +207,29 @@
         while let Some(&(at, old)) = self.ends.first().filter(|(at, _)| *at <= now) {
             self.ends.remove(&(at, old));
             self.entries.remove(&old);
+            self.forgotten.push(old);
         }
+        // Guards against two requests that ask at the same moment both being told to go.
+        if self.asked.contains(&key) {
+            return Err(Refusal::Deciding);
+        }
+        let grant = self.judge(now, key, rule, shown)?;
+        self.asked.insert(key);
+        Ok(grant)
+    }
+
+    /// The attempt that was granted is not made.
+    pub fn let_go(&mut self, key: Mark) {
+        self.asked.remove(&key);
+    }
+
+    /// Entries, and keys that are about to have one.
+    fn full(&self) -> bool {
+        let new = self.asked.iter().filter(|key| !self.entries.contains_key(key)).count();
+        self.entries.len() + new >= self.most
+    }
+
+    fn judge(&self, now: Millis, key: Mark, rule: &Rule, shown: Option<&Token>) -> Result<Grant, Refusal> {
         if shown.is_some_and(|token| token.key != key) {
             return Err(Refusal::OtherKey);
         }
@@ -153,10 +244,10 @@
             (Some(entry), _) => *entry,
             // Of another instance, or from before a store was lost: by what the token says, which may have run.
             (None, Some(token)) => of_token(token, rule),
-            (None, None) if self.entries.len() >= self.most => return Err(Refusal::Full),
+            (None, None) if self.full() => return Err(Refusal::Full),
             (None, None) => return Ok(Grant::Anywhere { attempt: 0, first: now, expires }),
         };
-        if !self.entries.contains_key(&key) && self.entries.len() >= self.most {
+        if !self.entries.contains_key(&key) && self.full() {
             return Err(Refusal::Full);
         }
         if entry.out && now < entry.quiet_at {
@@ -185,6 +276,7 @@
         let quiet_at = expires.saturating_add(rule.runs_for);
         let forget_at = quiet_at.saturating_add(rule.remember);
         let entry = Entry { attempt, out: true, quiet_at, ran, group, handed: now, forget_at };
+        self.asked.remove(&key);
         self.put(key, entry);
         entry
     }
@@ -228,6 +320,7 @@
 
     fn go(ledger: &mut Ledger, now: Millis, shown: Option<&Token>) -> Result<Grant, Refusal> {
         let grant = ledger.ask(now, key(1), &RULE, shown)?;
+        assert_eq!(ledger.ask(now, key(1), &RULE, shown), Err(Refusal::Deciding));
         ledger.hand(now, key(1), &RULE, &grant, 7);
         Ok(grant)
     }
@@ -293,6 +386,40 @@
         assert_eq!(go(&mut Ledger::new(8), 3_000, Some(&token(0, 1))), Err(Refusal::WindowOver));
     }
 
+    #[test]
+    fn a_key_that_is_being_placed_is_taken_and_counts_until_it_is_let_go() {
+        let mut ledger = Ledger::new(1);
+        assert!(ledger.ask(0, key(1), &RULE, None).is_ok());
+        assert_eq!(ledger.ask(0, key(1), &RULE, None), Err(Refusal::Deciding));
+        assert_eq!(ledger.ask(0, key(2), &RULE, None), Err(Refusal::Full));
+        ledger.let_go(key(1));
+        assert!(ledger.ask(0, key(2), &RULE, None).is_ok() && ledger.asked() == 1);
+        // What is forgotten is told once, for the store.
+        let grant = Grant::Anywhere { attempt: 0, first: 0, expires: 200 };
+        ledger.hand(0, key(2), &RULE, &grant, 1);
+        assert!(ledger.ask(20_000, key(3), &RULE, None).is_ok());
+        assert_eq!((ledger.forgotten(), ledger.forgotten()), (vec![key(2)], vec![]));
+    }
+
+    proptest! {
+        #[test]
+        fn an_entry_comes_back_from_its_bytes_as_it_was(
+            attempt: u8, out: bool, quiet_at: u64, ran: Option<(u64, u32)>, group: u32, handed: u64, forget_at: u64,
+        ) {
+            let entry = Entry { attempt, out, quiet_at, ran, group, handed, forget_at };
+            let bytes = entry.to_bytes();
+            prop_assert_eq!(Entry::from_bytes(&bytes), Some(entry));
+            prop_assert_eq!(Entry::from_bytes(&bytes[1..]), None);
+        }
+
+        #[test]
+        fn any_bytes_are_an_entry_or_none(bytes in proptest::collection::vec(any::<u8>(), 0..60)) {
+            if let Some(entry) = Entry::from_bytes(&bytes) {
+                prop_assert_eq!(entry.to_bytes().len(), bytes.len());
+            }
+        }
+    }
+
     /// What a caller and the world do.
     #[derive(Clone, Copy, Debug)]
     enum Step {
--- a/repeats/src/token.rs
+++ b/repeats/src/token.rs
@@ -89,6 +89,19 @@
         self.held.insert(0, Held { number, mac, until: None });
     }
 
+    /// The keys of a file that was read again: the last of them signs, and all are believed without an end, so that a
+    /// key can be known everywhere before it signs anywhere. Those that are no longer there are believed for `overlap`.
+    pub fn set(&mut self, now: Millis, overlap: Millis, keys: &[(u8, &[u8])]) {
+        for (number, secret) in keys {
+            self.change(now, overlap, *number, secret);
+        }
+        for held in &mut self.held {
+            if keys.iter().any(|(number, _)| *number == held.number) {
+                held.until = None;
+            }
+        }
+    }
+
     pub fn sign(&self, token: &Token) -> String {
         let held = &self.held[0];
         let mut bytes = Vec::with_capacity(BODY + MAC);
@@ -175,6 +188,20 @@
         assert!(keys.read(160, &keys.sign(&token())).is_ok());
     }
 
+    #[test]
+    fn a_key_is_known_before_it_signs_and_believed_after_it_is_gone() {
+        let token = Token { expires: u64::MAX, ..token() };
+        let mut keys = Keys::new(1, b"one");
+        keys.set(0, 50, &[(2, b"two"), (1, b"one")]);
+        let by_one = keys.sign(&token);
+        assert!(Keys::new(1, b"one").read(0, &by_one).is_ok(), "the last of the file signs");
+        assert!(keys.read(0, &Keys::new(2, b"two").sign(&token)).is_ok(), "another instance was quicker");
+        keys.set(10, 50, &[(1, b"one"), (2, b"two")]);
+        assert!(Keys::new(2, b"two").read(10, &keys.sign(&token)).is_ok());
+        keys.set(20, 50, &[(2, b"two")]);
+        assert!(keys.read(69, &by_one).is_ok() && keys.read(70, &by_one).is_err());
+    }
+
     proptest! {
         #[test]
         fn any_changed_byte_is_no_token(at in 0usize..BODY + MAC, by in 1u8..=255) {
--- a/simhost/src/wire.rs
+++ b/simhost/src/wire.rs
@@ -151,7 +151,7 @@
             r.u8()?;
             r.u32()?;
             let group = r.f32()? as u32;
-            Event::Request(Ask { id, class, object, part, group, size_kb, budget, lease: 0 })
+            Event::Request(Ask { id, class, object, part, group, size_kb, budget, lease: 0, within: None })
         }
         1 => {
             let id = RequestId(r.u64()?);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -192,6 +192,8 @@
     attempts: u32,
     /// How long its client may use a placement; 0: attempts are made from here.
     lease: Time,
+    /// The only group that may be asked, where an attempt may have run unseen from here.
+    within: Option<u32>,
     /// The sibling query was made.
     queried: bool,
     started: bool,
@@ -472,7 +474,7 @@
     // ---- placing a request ----
 
     fn on_request(&mut self, now: Time, ask: Ask, out: &mut Vec<Action>) {
-        let Ask { id, class, object, part, group, size_kb, budget, lease } = ask;
+        let Ask { id, class, object, part, group, size_kb, budget, lease, within } = ask;
         if class >= self.settings.classes.len() || self.requests.contains_key(&id) {
             return;
         }
@@ -491,6 +493,7 @@
             aim_at: now + (rules.aim + (rules.aim_stretch * work) as Time).min(rules.deadline),
             deadline: now + budget,
             lease,
+            within,
             ..Request::default()
         };
         self.retries = (self.retries + RETRY.0).min(RETRY.1);
@@ -586,19 +589,22 @@
 
     /// Effects: an attempt that may have run binds where the next may go.
     fn may_repeat_at(&self, now: Time, request: &Request, cache: CacheId) -> bool {
-        let Some((sent, first)) = request.may_have_run else { return true };
         let rules = &self.settings.classes[request.class];
+        let elsewhere = |g| self.servers.get(&cache).is_none_or(|s| rules.repeat.group_of(&s.member) != g);
+        if request.within.is_some_and(elsewhere) {
+            return false;
+        }
+        let Some((sent, first)) = request.may_have_run else { return true };
         let (Some(a), Some(b)) = (self.servers.get(&first), self.servers.get(&cache)) else {
             return rules.repeat == Repeat::Safe;
         };
-        let grouped = match rules.repeat {
-            Repeat::Safe => return true,
+        match rules.repeat {
+            Repeat::Safe => true,
             Repeat::SingleShot => false,
-            Repeat::Keyed(Group::All) => true,
-            Repeat::Keyed(Group::Zone) => a.member.zone == b.member.zone,
-            Repeat::Keyed(Group::Cell) => a.member.cell == b.member.cell,
-        };
-        grouped && now < sent + rules.repeat_window
+            keyed => {
+                keyed.group_of(&a.member) == keyed.group_of(&b.member) && now < sent + rules.repeat_window
+            }
+        }
     }
 
     // ---- the source of a fill ----
@@ -963,7 +969,7 @@
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
         let mut left = self.attempts.range((id, 0)..=(id, u8::MAX));
-        let ran = request.may_have_run.is_some() || left.next().is_some();
+        let ran = request.may_have_run.is_some() || request.within.is_some() || left.next().is_some();
         let refuse = match self.settings.classes[request.class].repeat {
             Repeat::Safe | Repeat::Keyed(Group::All) => true,
             _ => !ran,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -28,6 +28,17 @@
     Cell,
 }
 
+impl Repeat {
+    /// The number of a cache's group: within it, repeats of a keyed request are dropped.
+    pub fn group_of(self, member: &Member) -> u32 {
+        match self {
+            Repeat::Keyed(Group::Zone) => 1 + member.zone as u32,
+            Repeat::Keyed(Group::Cell) => 1 + member.cell as u32,
+            _ => 0,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Class {
     /// An answer within this time, plus `aim_stretch` times the sending time, has its full worth.
@@ -188,6 +199,8 @@
     pub budget: Time,
     /// How long the client may use the placement by itself, unseen from here; 0: the front makes the attempt.
     pub lease: Time,
+    /// An attempt that was seen elsewhere may have run: only caches of this group may be asked ([`Repeat::group_of`]).
+    pub within: Option<u32>,
 }
 
 /// How one attempt ended.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,7 +34,7 @@
 //! actions.clear();
 //! router.handle(1_002_000, Event::Request(Ask {
 //!     id: RequestId(1), class: 0, object: ObjectId(55), part: 0, group: 3, size_kb: 200.0,
-//!     budget: 3_000_000, lease: 0,
+//!     budget: 3_000_000, lease: 0, within: None,
 //! }), &mut actions);
 //! // The front now sends this to the cache and reports how it ended as `Event::Outcome`.
 //! let fetch = actions.iter().find_map(|action| match action {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -103,7 +103,17 @@
         let id = RequestId(self.next);
         let object = ObjectId(object);
         let budget = 3 * SECOND;
-        let event = Event::Request(Ask { id, class, object, part: 0, group: 5, size_kb, budget, lease: 0 });
+        let event = Event::Request(Ask {
+            id,
+            class,
+            object,
+            part: 0,
+            group: 5,
+            size_kb,
+            budget,
+            lease: 0,
+            within: None,
+        });
         (id, self.event(event))
     }
 
--- a/tests/fleets.rs
+++ b/tests/fleets.rs
@@ -97,6 +97,7 @@
             size_kb,
             budget: 0,
             lease: 0,
+            within: None,
         };
         front.event(Event::Request(ask));
     }
@@ -109,6 +110,7 @@
         size_kb: 1.0,
         budget: SECOND,
         lease: 0,
+        within: None,
     }));
     front.event(Event::Purged { object: None, group: u32::MAX, ago: Time::MAX });
     front.event(Event::ClientGone { id: RequestId(77) });
