--- a/demo/src/extproc.rs
+++ b/demo/src/extproc.rs
@@ -374,10 +374,10 @@
     let cache = Source::start(|_| Act::give(LENGTH, Duration::ZERO));
     let instance = Instance::start(program, folder, 0, &[cache.address(); 2])?;
     // Once without counting: what is made once, is made.
-    drop(hold(instance.address, 50)?);
+    drop(hold(instance.address, 50, "formula-card")?);
     thread::sleep(Duration::from_millis(300));
     let before = instance.memory_kb().ok_or("no /proc")?;
-    let held = hold(instance.address, streams)?;
+    let held = hold(instance.address, streams, "formula-card")?;
     let after = instance.memory_kb().ok_or("no /proc")?;
     drop(held);
     let each = after.saturating_sub(before) as f64 / streams as f64;
--- a/fronts/extproc/benches/decide.rs
+++ b/fronts/extproc/benches/decide.rs
@@ -9,9 +9,12 @@
 use foldmux_core::Inquiry;
 use foldmux_extproc::check::asks;
 use foldmux_extproc::pb::external_processor_client::ExternalProcessorClient;
-use foldmux_extproc::pb::{HeaderMap, HeaderValue, HttpHeaders, ProcessingRequest, Request, Response};
+use foldmux_extproc::pb::{
+    HeaderMap, HeaderValue, HttpBody, HttpHeaders, ProcessingRequest, Request, Response,
+};
 use foldmux_fronts::dns::server::Bound as Dns;
 use foldmux_operator::Dns as Setup;
+use foldmux_standins::caller::hold;
 use foldmux_store::Commit;
 use hdrhistogram::Histogram;
 use std::net::{SocketAddr, UdpSocket};
@@ -194,6 +197,52 @@
     Run { histogram, failed: failed.load(Ordering::Relaxed) }
 }
 
+/// One stream after the other, each flooded with bodies that are answered until the front has had enough of them.
+struct Flood(Arc<AtomicU64>, Arc<AtomicU64>, thread::JoinHandle<()>);
+
+impl Flood {
+    fn start(at: SocketAddr) -> Flood {
+        let (sent, over) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
+        let (counted, told) = (sent.clone(), over.clone());
+        let thread = thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+            runtime.block_on(async {
+                let mut client = ExternalProcessorClient::connect(format!("http://{at}")).await.unwrap();
+                let (sender, messages) = mpsc::channel(16);
+                let mut ask = asks("GET", PATH, &[]);
+                if let Some(Request::RequestHeaders(headers)) = &mut ask.request {
+                    headers.end_of_stream = false;
+                }
+                let _ = sender.send(ask).await;
+                let mut answers = client.process(ReceiverStream::new(messages)).await.unwrap().into_inner();
+                let body = HttpBody { body: vec![0; 1_000], ..HttpBody::default() };
+                let flood = async {
+                    while told.load(Ordering::Relaxed) == 0 {
+                        let request = Some(Request::RequestBody(body.clone()));
+                        if sender
+                            .send(ProcessingRequest { request, ..ProcessingRequest::default() })
+                            .await
+                            .is_err()
+                        {
+                            return;
+                        }
+                        counted.fetch_add(1, Ordering::Relaxed);
+                    }
+                };
+                let read = async { while let Ok(Some(_)) = answers.message().await {} };
+                tokio::select! { () = flood => {}, () = read => {} }
+            });
+        });
+        Flood(sent, over, thread)
+    }
+
+    fn end(self) -> u64 {
+        self.1.store(1, Ordering::Relaxed);
+        self.2.join().unwrap();
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
 fn instance(commit: Commit) -> (Instance, tempfile::TempDir) {
     let folder = tempfile::tempdir().unwrap();
     let at = SocketAddr::from(([127, 0, 0, 1], 9));
@@ -228,6 +277,14 @@
         print("DNS, UDP", streams, rate, &dns(names, streams, rate));
         print("gRPC", streams, rate, &grpc(front.address, streams, rate, None));
     }
+    println!("\nothers on the same front: 2,000 streams held open, and one that is flooded with messages");
+    print("alone", 64, 2_000.0, &grpc(front.address, 64, 2_000.0, None));
+    let held = hold(front.address, 2_000, "sheet").unwrap();
+    print("2000 held", 64, 2_000.0, &grpc(front.address, 64, 2_000.0, None));
+    let flood = Flood::start(front.address);
+    print("and a flood", 64, 2_000.0, &grpc(front.address, 64, 2_000.0, None));
+    println!("             {} messages of the flood were taken", flood.end());
+    drop(held);
     println!("\nas many as it takes: offered far over what is made");
     for streams in [1, 8, 64, 512] {
         print("bare desk", streams, 1e6, &bare(&front, streams, 1e6));
--- a/fronts/extproc/tests/keyed.rs
+++ b/fronts/extproc/tests/keyed.rs
@@ -1,10 +1,13 @@
 //! Keyed requests over real connections: tokens that are wrong, a ledger that can't be written, and a front that dies.
 
-use common::{script, store, Instance};
+use common::{script, store, until, Instance};
 use foldmux_extproc::check;
-use foldmux_extproc::keyed::unix_ms;
+use foldmux_extproc::keyed::{unix_ms, Keeper, No};
+use foldmux_extproc::serve::block_on;
+use foldmux_repeats::ledger::{Refusal, Rule};
 use foldmux_repeats::token::{Keys, Mark, Token};
 use foldmux_standins::source::{Act, Source};
+use foldmux_store::Commit;
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -149,6 +152,47 @@
     again.settled();
 }
 
+#[test]
+fn what_was_written_and_never_told_is_refused_as_well_after_a_crash() {
+    let folder = tempfile::tempdir().unwrap();
+    let rule = Rule { window: 10_000, attempts: 4, good_for: 200, runs_for: 1_500, remember: 60_000 };
+    let keeper = |folder: &Path| {
+        let keys: [(u8, &[u8]); 1] = [(1, SECRET)];
+        Arc::new(Keeper::start(Some((store(folder), Commit::Group)), 10, &keys, 0).unwrap())
+    };
+    let first = keeper(folder.path());
+    let left = tempfile::tempdir().unwrap();
+    block_on(async {
+        let mut grip = first.ask(Mark::of("record/a"), rule, None).unwrap();
+        grip.hand(Mark::of("r"), 2).await.unwrap();
+        // Killed here: written, and no answer went out.
+        copied(folder.path(), left.path());
+        drop(grip);
+    })
+    .unwrap();
+    let again = keeper(left.path());
+    assert!(matches!(again.ask(Mark::of("record/a"), rule, None), Err(No::Ledger(Refusal::Running { .. }))));
+    // The one that lived on knows that it was never told.
+    assert!(first.ask(Mark::of("record/a"), rule, None).is_ok());
+}
+
+#[test]
+fn a_ledger_that_can_t_be_opened_yet_refuses_keyed_requests_and_others_go_on() {
+    let folder = tempfile::tempdir().unwrap();
+    let cache = cache();
+    // A disk that is read-only: nothing can be written, so the file can't be opened for it.
+    let fails = Arc::new(AtomicBool::new(true));
+    let opener = foldmux_store::failing(&folder.path().join("ledger"), fails.clone());
+    let instance = Instance::start(&script("", ""), opener, &[cache.address(); 2], cache.address());
+    let told = ask(&instance, "a", None);
+    assert!(told.starts_with("answered 503") && told.contains("can't be read yet; nothing ran"), "{told}");
+    let sheet = check::check(&instance.address.to_string(), "GET", "/cards/x", &[]).unwrap();
+    assert!(sheet.starts_with("placed"), "{sheet}");
+    fails.store(false, Ordering::SeqCst);
+    until("the ledger is there", || ask(&instance, "a", None).starts_with("placed"));
+    instance.settled();
+}
+
 #[test]
 fn a_full_ledger_refuses_and_forgets_nothing() {
     let folder = tempfile::tempdir().unwrap();
--- a/fronts/extproc/tests/streams.rs
+++ b/fronts/extproc/tests/streams.rs
@@ -87,10 +87,14 @@
     let instance =
         Instance::start(&script("", ""), store(folder.path()), &[cache.address()], cache.address());
     let told = check::check(&instance.address.to_string(), "GET", PATH, &[]).unwrap();
-    assert!(
-        told.starts_with("placed\n") && told.contains(&format!("x-foldmux-cache: {}", cache.address())),
-        "{told}"
-    );
+    assert!(told.contains(&format!("x-foldmux-cache: {}", cache.address())), "{told}");
+    // What is told, but for what differs from run to run.
+    let varies = ["x-foldmux-cache", "x-foldmux-attempt", "x-foldmux-good-until-ms", "via-id", "via-wait"];
+    let same = told.lines().map(|line| match line.trim().split_once(": ") {
+        Some((name, _)) if varies.contains(&name) => format!("{name}: -\n"),
+        _ => format!("{}\n", line.trim()),
+    });
+    insta::assert_snapshot!(same.collect::<String>());
     let caller = Caller::new(Setup::plain(vec![instance.address]));
     let server = caller.serve();
     for object in 0..20u64 {
@@ -279,6 +283,30 @@
     instance.settled();
 }
 
+#[test]
+fn a_cache_that_drains_between_placement_and_send_is_named_no_more_and_its_placement_soon_void() {
+    let folder = tempfile::tempdir().unwrap();
+    let caches = [quick(), quick()];
+    let places = [caches[0].address(), caches[1].address()];
+    let instance = Instance::start(&script("", ""), store(folder.path()), &places, places[0]);
+    block_on(async {
+        let mut first = Talk::open(&instance).await;
+        let response = first.ask(PATH).await;
+        let cache = placed(&response, "x-foldmux-cache").unwrap();
+        let good_until: u64 = placed(&response, "x-foldmux-good-until-ms").unwrap().parse().unwrap();
+        let drained = places.iter().position(|at| at.to_string() == cache).unwrap();
+        instance.tell(line(drained as u32 + 1, 0, drained as u16 + 1, State::Draining, places[drained]));
+        let told = unix_ms();
+        assert!(good_until <= told + 250, "void before the drain must be heeded");
+        for _ in 0..20 {
+            let mut next = Talk::open(&instance).await;
+            assert_ne!(placed(&next.ask(PATH).await, "x-foldmux-cache").unwrap(), cache);
+        }
+    })
+    .unwrap();
+    instance.settled();
+}
+
 #[test]
 fn a_slow_decision_asks_for_more_time_and_one_that_never_comes_is_given_up() {
     let folder = tempfile::tempdir().unwrap();
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -58,7 +58,17 @@
 }
 
 impl Program {
-    fn signal(&self, name: &str) {
+    /// The next line of the log that has these words.
+    pub fn line(&self, words: &str) -> String {
+        let mut lines = std::iter::from_fn(|| self.log.recv_timeout(PATIENCE).ok());
+        lines.find(|line| line.contains(words)).expect("a line in the log")
+    }
+
+    pub fn ended(&mut self) -> std::process::ExitStatus {
+        self.child.wait().unwrap()
+    }
+
+    pub fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
     }
@@ -86,16 +96,28 @@
 
 /// Starts the program on this configuration; where it says that it serves.
 pub fn start(config: &str) -> (Program, SocketAddr) {
+    let (program, [serves, _]) = start_with(config, &[]);
+    (program, serves.expect("an address"))
+}
+
+/// With more arguments; where it serves, and where its external processor is.
+pub fn start_with(config: &str, arguments: &[&str]) -> (Program, [Option<SocketAddr>; 2]) {
     let file = std::env::temp_dir().join(format!("foldmux-{}-{:?}", std::process::id(), config.as_ptr()));
     std::fs::write(&file, config).unwrap();
+    let arguments = [&["serve"], arguments].concat();
     let mut child =
-        command(&["serve"]).env("GW_CONFIG", &file).stderr(Stdio::piped()).spawn().expect("the program");
+        command(&arguments).env("GW_CONFIG", &file).stderr(Stdio::piped()).spawn().expect("the program");
     let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
-    let line = lines.next().unwrap_or_default();
+    let (mut at, mut said) = ([None; 2], String::new());
+    while at[0].is_none() {
+        let line = lines.next().unwrap_or_else(|| panic!("the program said: {said}"));
+        let after = |words: &str| line.split_once(words).and_then(|(_, at)| at.trim().parse().ok());
+        at = [after(" serves on "), at[1].or(after("external processor on "))];
+        said += &line;
+    }
     let (told, log) = channel();
     std::thread::spawn(move || lines.for_each(|line| drop(told.send(line))));
-    let address = line.trim().rsplit(' ').next().unwrap().parse();
-    (Program { child, file, log }, address.unwrap_or_else(|_| panic!("the program said: {line}")))
+    (Program { child, file, log }, at)
 }
 
 /// Plays the lines and returns them, with what the program sent in its places.
--- a/standins/src/caller.rs
+++ b/standins/src/caller.rs
@@ -554,7 +554,7 @@
 }
 
 /// Opens so many streams, a hundred on a connection, each as far as its placement.
-pub fn hold(address: SocketAddr, streams: usize) -> Result<Held, String> {
+pub fn hold(address: SocketAddr, streams: usize, class: &str) -> Result<Held, String> {
     let runtime =
         Builder::new_multi_thread().worker_threads(2).enable_all().build().map_err(|e| e.to_string())?;
     let open = async {
@@ -566,7 +566,7 @@
             }
             let client = client.as_mut().ok_or("no client")?;
             let (sender, messages) = mpsc::channel(2);
-            let request = Request::get(&crate::client::path("formula-card", n as u64, 0));
+            let request = Request::get(&crate::client::path(class, n as u64, 0));
             let _ = sender.send(heads(&request, &request.fields)).await;
             let answers = client.process(ReceiverStream::new(messages)).await.map_err(|e| e.to_string())?;
             let mut answers = answers.into_inner();
