--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -2,16 +2,19 @@
 //!
 //! Owns: the module, its timers and the table of open requests ([`desk`]), the life of a request ([`request`]) and of
 //! one whose attempts somebody else makes ([`lent`]), the
-//! list of members ([`members`]), the buffers ([`buffers`]), the clock ([`clock`]), the counts ([`tally`]).
+//! list of members ([`members`]), the limits in
+//! service ([`limits`]), the buffers ([`buffers`]), the clock ([`clock`]), the counts ([`tally`]).
 //!
 //! May not: open, read or write a socket, or know how a request came or an attempt is made. Fronts hand it an
-//! [`Inquiry`] and a [`Reply`]; whoever makes attempts implements [`attempt::Tries`]. It depends on the module alone.
+//! [`Inquiry`] and a [`Reply`]; whoever makes attempts implements [`attempt::Tries`]. It depends on the module and the limits'
+//! pure crate alone.
 
 pub mod attempt;
 pub mod buffers;
 pub mod clock;
 pub mod desk;
 pub mod lent;
+pub mod limits;
 pub mod members;
 pub mod request;
 pub mod tally;
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -3,7 +3,8 @@
 use crate::attempt::{Attempt, Got, Line, Tries};
 use crate::buffers::{Buffers, Lease};
 use crate::clock::{span, Clock};
-use crate::desk::{DeskHandle, Notice, Order, ORDERS};
+use crate::desk::{DeskHandle, Notice, Order, Target, ORDERS};
+use crate::limits::{Allowed, Entered, Held, Limiter};
 use crate::members::{Listed, Members};
 use crate::tally::{End, Tally};
 use crossbeam_channel::{bounded, Sender};
@@ -12,15 +13,17 @@
 use std::ops::Range;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::thread;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Stack of a request's thread: its bytes are in pooled buffers.
 const STACK: usize = 128 * 1024;
 /// Beyond the client's deadline a request without orders answers by itself (us): the module's own look at
 /// what is overdue comes first.
 const UNORDERED: Time = 30_000;
+/// How long a request that pauses before an attempt may miss that its client left.
+const PAUSE_PART: Duration = Duration::from_millis(5);
 
 /// A request as a front read and checked it.
 pub struct Inquiry {
@@ -38,6 +41,9 @@
     pub arrived: Instant,
     /// How long until the client gives this up, from `arrived`.
     pub budget: Time,
+    /// Which front it came by, and who its caller proved to be: what limits may go by.
+    pub front: &'static str,
+    pub caller: Arc<str>,
     /// An attempt made elsewhere may have run: only this group of caches may be asked.
     pub within: Option<u32>,
 }
@@ -142,6 +148,8 @@
     pub members: Arc<Members>,
     pub upstream: Box<dyn Tries>,
     pub tally: Tally,
+    /// Limits by class and route, where the operator's file has them.
+    pub limits: OnceLock<Arc<Limiter>>,
     /// Advised with a refusal of the core's own.
     pub shed_wait: Time,
     /// How long after its start a member may still be cold.
@@ -178,6 +186,7 @@
             members,
             upstream,
             tally: Tally::default(),
+            limits: OnceLock::new(),
             shed_wait,
             cold_for,
             most,
@@ -263,6 +272,24 @@
         listed.member.boot > 0 && now < listed.member.boot + self.cold_for
     }
 
+    pub(crate) fn report(&self, id: RequestId, target: &Target, outcome: Outcome, last: bool) {
+        self.tally.attempt(outcome);
+        let elapsed = target.decided.elapsed().as_micros() as Time;
+        let (attempt, note) = (target.attempt, Note::Untold);
+        self.desk.tell(Notice::Outcome(Report { id, attempt, outcome, note, elapsed, last }));
+    }
+
+    /// The final answer where the limits allow no more: refused where trying again is harmless, else failed.
+    fn limited(&self, limits: Option<&Held>) -> (End, Answer) {
+        match limits.is_none_or(Held::harmless) {
+            true => {
+                let wait = limits.map_or(self.shed_wait, |held| held.advice(self.shed_wait));
+                (End::Refused, Answer::Shed { wait })
+            }
+            false => (End::Failed, Answer::Failed),
+        }
+    }
+
     /// The client left: the module hears, and the attempt's socket is shut.
     pub fn leave(&self, slot: &Slot) {
         slot.leave();
@@ -295,33 +322,52 @@
     }
 }
 
-/// The one place where a request lives: asked, attempted, reported, repeated, answered.
+/// The one place where a request lives: admitted, asked, attempted, reported, repeated, answered.
 fn serve(core: &Core, inquiry: Inquiry, slot: &Arc<Slot>, reply: Box<dyn Reply>) {
     let Some(mut bytes) = core.buffers.lease() else {
         return core.shed(reply);
     };
+    let mut deadline = inquiry.arrived + span(inquiry.budget);
+    let mut limits = match admit(core, &inquiry, deadline) {
+        Ok(limits) => limits,
+        Err(wait) => {
+            core.tally.end(End::Shed);
+            return reply.answer(Answer::Shed { wait });
+        }
+    };
+    limits.iter().for_each(|held| deadline = deadline.min(held.deadline(inquiry.arrived)));
     let (sender, orders) = bounded(ORDERS);
     let _ended = Ended(core, slot.id);
-    let deadline = inquiry.arrived + span(inquiry.budget);
-    let asked = ask(&inquiry, slot.id, 0);
+    let asked = Ask { budget: left(deadline), ..ask(&inquiry, slot.id, 0) };
     core.desk.tell(Notice::Ask { ask: asked, slot: slot.clone(), orders: Box::new(sender) });
     let (end, answer) = loop {
         match orders.recv_deadline(deadline + span(UNORDERED)) {
-            Ok(Order::Fetch(fetch, target)) => {
+            Ok(Order::Fetch(mut fetch, target)) => {
+                let allowed = limits.as_mut().is_none_or(|held| allow(held, &inquiry, slot, deadline));
+                let fill = limits.as_ref().map(|held| held.fill(&fetch));
+                if !allowed || matches!(fill, Some(None)) {
+                    // The limits end it here: the module hears that nothing was sent, and no more is asked of it.
+                    core.report(slot.id, &target, Outcome::NeverSent, true);
+                    break core.limited(limits.as_ref());
+                }
+                limits.iter().for_each(|held| held.narrow(&mut fetch));
+                let began = Instant::now();
                 let attempt = Attempt { inquiry: &inquiry, slot, fetch: &fetch, target: &target, deadline };
                 let (outcome, got) = core.upstream.attempt(&attempt, &mut bytes);
-                core.tally.attempt(outcome);
-                let elapsed = target.decided.elapsed().as_micros() as Time;
+                drop(fill);
+                limits.iter_mut().for_each(|held| held.heard(began, got.is_some(), outcome.never_ran()));
                 let last = got.is_some() || slot.left();
-                let (id, attempt, note) = (slot.id, target.attempt, Note::Untold);
-                core.desk.tell(Notice::Outcome(Report { id, attempt, outcome, note, elapsed, last }));
+                core.report(slot.id, &target, outcome, last);
                 match got {
                     Some(Got::Body(body)) => break (End::Served, Answer::Served(Served { bytes, body })),
                     Some(Got::Same) => break (End::Same, Answer::Same),
                     None => {}
                 }
             }
-            Ok(Order::Refuse { wait }) => break (End::Refused, Answer::Shed { wait }),
+            Ok(Order::Refuse { wait }) => {
+                let wait = limits.as_ref().map_or(wait, |held| held.advice(wait));
+                break (End::Refused, Answer::Shed { wait });
+            }
             Ok(Order::Over) => return,
             Ok(Order::Fail) | Err(_) => break (End::Failed, Answer::Failed),
         }
@@ -330,6 +376,54 @@
     reply.answer(answer);
 }
 
+/// A place among those of the request's limits, where there are any; else how long to stay away (us). Waits for one as
+/// long as the limits say.
+fn admit(core: &Core, inquiry: &Inquiry, deadline: Instant) -> Result<Option<Held>, Time> {
+    let Some(limiter) = core.limits.get() else { return Ok(None) };
+    let (tell, told) = bounded(1);
+    let tell = Box::new(move |has: bool| {
+        let _ = tell.try_send(has);
+    });
+    match limiter.enter(inquiry.class, &inquiry.caller, inquiry.front, tell) {
+        Entered::Free => Ok(None),
+        Entered::In(held) => Ok(Some(held)),
+        Entered::Refused { wait } => Err(wait),
+        Entered::Waits(mut held, age) => match told.recv_deadline(deadline.min(Instant::now() + age)) {
+            Ok(true) => {
+                held.admitted();
+                Ok(Some(held))
+            }
+            Ok(false) | Err(_) => Err(held.advice(Time::MAX)),
+        },
+    }
+}
+
+/// Whether the attempt that the module wants is made, after the pause that the limits want before it.
+fn allow(held: &mut Held, inquiry: &Inquiry, slot: &Slot, deadline: Instant) -> bool {
+    // Chance enough: clients' ids and the clock.
+    let mixed =
+        (inquiry.via ^ inquiry.arrived.elapsed().as_nanos() as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    match held.attempt((mixed >> 11) as f64 / (1u64 << 53) as f64) {
+        Allowed::Now => true,
+        Allowed::No => false,
+        Allowed::After(pause) => {
+            let end = Instant::now() + pause;
+            if end >= deadline {
+                return false;
+            }
+            // In parts, so that a client that leaves meanwhile is heard of.
+            while !slot.left() && Instant::now() < end {
+                thread::sleep(PAUSE_PART.min(end.saturating_duration_since(Instant::now())));
+            }
+            !slot.left() && held.in_window()
+        }
+    }
+}
+
+fn left(deadline: Instant) -> Time {
+    deadline.saturating_duration_since(Instant::now()).as_micros() as Time
+}
+
 pub(crate) fn ask(inquiry: &Inquiry, id: RequestId, lease: Time) -> Ask {
     let deadline = inquiry.arrived + span(inquiry.budget);
     Ask {
@@ -339,7 +433,7 @@
         part: inquiry.part,
         group: inquiry.group,
         size_kb: inquiry.size_kb,
-        budget: deadline.saturating_duration_since(Instant::now()).as_micros() as Time,
+        budget: left(deadline),
         lease,
         within: inquiry.within,
     }
--- /dev/null
+++ b/core/tests/limits.rs
@@ -0,0 +1,165 @@
+//! Limits in the life of real requests: reloaded in the middle of a storm, nothing is lost and nothing is doubled.
+
+use foldmux::interface::{CacheId, Member, Outcome, State};
+use foldmux::Router;
+use foldmux_core::attempt::{Attempt, Got, Tries};
+use foldmux_core::buffers::Buffers;
+use foldmux_core::clock::Clock;
+use foldmux_core::desk::Notice;
+use foldmux_core::limits::Limiter;
+use foldmux_core::members::{Listed, Members};
+use foldmux_core::{Answer, Core, Desk, Inquiry, Reply};
+use foldmux_limits::table::{Draft, Said, Table};
+use foldmux_limits::values::{Budget, Concurrency, Layer};
+use foldmux_limits::Account;
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{channel, Sender};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+const SETTINGS: &str = r#"{"index":0,"balancers":1,"locality":1,"dcs":["hub","edge"],
+"kinds":["box","parent","origin"],"classes":[{"name":"mix-video","slo":500000,"hardLimit":5000000,
+"idempotency":"free"},{"name":"formula-card","slo":250000,"hardLimit":3000000,"idempotency":"free"},
+{"name":"mix-record","slo":600000,"hardLimit":3000000,"idempotency":"guarded","group":"all","repeatWindow":2000000}],
+"limits":{"maxAttempts":8,"cancel":true,"retryAfter":true,"maxRetryAfter":500000},"rules":{"answerSlack":8000,
+"stopSendingWithin":250000,"coldFrom":0.17,"rampTime":18000000,"fall":3000000,"fallMultiple":4.0},
+"domain":{"originKind":2,"midKind":1,"siblings":"any","notesGiven":"none","clientKbPerS":5000.0,"direct":false,
+"hubOf":[0,0],"passOn":[false,false,true],"instancesByZone":[0,1],"parentFloor":0.1,"parentCold":21000000,
+"parentBreaksAt":2.0,"purgeSlack":1000000,"purgeDone":6000000}}"#;
+
+/// Boxes that fail in every way, by turns; they look at what must never come.
+#[derive(Default)]
+struct Boxes {
+    /// By the request's id: attempts that are running.
+    running: Mutex<HashMap<u64, u64>>,
+    together: AtomicU64,
+    turn: AtomicU64,
+}
+
+struct Shared(Arc<Boxes>);
+
+impl Tries for Shared {
+    fn attempt(&self, attempt: &Attempt, _: &mut [u8]) -> (Outcome, Option<Got>) {
+        let (boxes, id) = (&self.0, attempt.inquiry.via);
+        {
+            let mut running = boxes.running.lock().unwrap();
+            let now = running.entry(id).or_default();
+            *now += 1;
+            boxes.together.fetch_add((*now > 1) as u64, Ordering::SeqCst);
+        }
+        let turn = boxes.turn.fetch_add(1, Ordering::SeqCst);
+        thread::sleep(Duration::from_micros(200 + turn % 5 * 300));
+        boxes.running.lock().unwrap().entry(id).and_modify(|now| *now -= 1);
+        match turn % 7 {
+            0 | 1 => (Outcome::Error, None),
+            2 => (Outcome::ConnectFailed, None),
+            3 => (Outcome::Reset, None),
+            _ => (Outcome::Served, Some(Got::Same)),
+        }
+    }
+}
+
+/// Counts its answers.
+struct Counted(Sender<(u64, bool)>, u64);
+
+impl Reply for Counted {
+    fn answer(self: Box<Self>, answer: Answer) {
+        self.0.send((self.1, matches!(answer, Answer::Same))).unwrap();
+    }
+}
+
+fn table(places: u64, attempts: u64, queue: u64) -> Table {
+    let layer = Layer {
+        attempts: Some(attempts),
+        backoff_ms: Some(1),
+        backoff_most_ms: Some(4),
+        jitter_percent: Some(50.0),
+        concurrency: Some(Concurrency::Fixed { most: places }),
+        queue: Some(queue),
+        queue_age_ms: Some(200),
+        budget: Some("b".into()),
+        ..Layer::default()
+    };
+    let budget = Budget { name: "b".into(), percent: 50.0, burst: 20, parent: None };
+    let defaults = Some(Said { at: "f:1".into(), value: layer });
+    let budgets = vec![Said { at: "f:2".into(), value: budget }];
+    Table::new(&Account::default(), &Draft { defaults, budgets, ..Draft::default() })
+}
+
+#[test]
+fn a_reload_in_the_middle_of_a_storm_loses_nothing_and_doubles_nothing() {
+    const REQUESTS: u64 = 3_000;
+    let decoded = foldmux_settings::parse(SETTINGS).unwrap();
+    let repeats = decoded.settings.classes.iter().map(|class| class.repeat).collect();
+    let (clock, members) = (Clock::default(), Arc::new(Members::default()));
+    let (desk, handle) = Desk::new(Router::new(decoded.settings, 1), clock.clone(), members.clone());
+    let listed = |n: u32, zone, kind| Listed {
+        member: Member { cache: CacheId(n), zone, kind, cell: 0, state: State::Ready, weight: 1.0, boot: 0 },
+        name: format!("s-{n:08x}").into(),
+        address: ([127, 0, 0, 1], 9).into(),
+    };
+    let all = vec![listed(1, 1, 0), listed(2, 1, 0), listed(3, 1, 0), listed(90, 0, 1), listed(91, 0, 2)];
+    handle.tell(Notice::Members { full: true, listed: all });
+    let boxes = Arc::new(Boxes::default());
+    let tries = Box::new(Shared(boxes.clone()));
+    let core = Core::new(handle, clock.clone(), Buffers::new(200), members, tries, 50_000, 0, 180);
+    let limiter = Limiter::new(table(8, 3, 60), clock, "edge".into(), repeats);
+    assert!(core.limits.set(limiter.clone()).is_ok());
+    thread::Builder::new().stack_size(512 * 1024).spawn(move || desk.run()).unwrap();
+    let (told, answers) = channel();
+    let asking = {
+        let core = core.clone();
+        thread::spawn(move || {
+            for id in 1..=REQUESTS {
+                let inquiry = Inquiry {
+                    via: id,
+                    class: (id % 3) as usize,
+                    class_name: "any".into(),
+                    object: id % 50,
+                    part: 0,
+                    group: 0,
+                    size_kb: 1.0,
+                    token: Some(format!("k{id}")),
+                    got: Some("x".into()),
+                    body: None,
+                    arrived: Instant::now(),
+                    budget: 2_000_000,
+                    front: "msgpack",
+                    caller: "".into(),
+                    within: None,
+                };
+                core.start(inquiry, core.slot(), Box::new(Counted(told.clone(), id)));
+                if id.is_multiple_of(8) {
+                    thread::sleep(Duration::from_millis(1));
+                }
+            }
+        })
+    };
+    // Wider, narrower, none at all, and back, as the answers come.
+    let (mut seen, mut served, mut turn) = (HashMap::<u64, u64>::new(), 0, 0u64);
+    while seen.len() < REQUESTS as usize {
+        let (id, was_served) = answers.recv_timeout(Duration::from_secs(30)).expect("an answer");
+        *seen.entry(id).or_default() += 1;
+        served += was_served as u64;
+        turn += 1;
+        if turn.is_multiple_of(20) {
+            match turn / 20 % 4 {
+                0 => limiter.swap(table(2, 2, 10)),
+                1 => limiter.swap(table(30, 4, 60)),
+                2 => limiter.swap(Table::new(&Account::default(), &Draft::default())),
+                _ => limiter.swap(table(8, 3, 60)),
+            }
+        }
+    }
+    asking.join().unwrap();
+    assert!(seen.values().all(|count| *count == 1), "one answer each");
+    assert_eq!(boxes.together.load(Ordering::SeqCst), 0, "two attempts at once");
+    assert!(served > REQUESTS / 10, "{served}");
+    let end = Instant::now() + Duration::from_secs(30);
+    while limiter.sizes() != [0, 0] || core.open() > 0 {
+        assert!(Instant::now() < end, "{:?} {}", limiter.sizes(), core.open());
+        thread::sleep(Duration::from_millis(2));
+    }
+}
--- a/deploy/foldmux.star
+++ b/deploy/foldmux.star
@@ -66,3 +66,10 @@
 # ask("mix-record", method = "POST", path = "/records/{object}", key = "idempotency-key", rewrite = True)
 # token_key(number = 1, secret = "at least 32 characters, the same at all instances")
 # ledger("/var/lib/foldmux/ledger", entries = 100000, durable = "group")
+
+# Limits by class and route, off: here is how they are set up (docs/limits.md).
+# budget("all", percent = 10, burst = 40)
+# budget("video", percent = 3, burst = 10, parent = "all")
+# limits(attempts = 3)
+# limits("mix-video", budget = "video", places = 16, queue = 16, queue_age_ms = 150)
+# route("far", of = "mix-video", zone = "rovaniemi", attempt_ms = 1500)
--- a/fronts/extproc/benches/decide.rs
+++ b/fronts/extproc/benches/decide.rs
@@ -60,7 +60,8 @@
                 let mut own = Histogram::<u64>::new(3).unwrap();
                 for turn in (number..).step_by(n) {
                     let due = began + Duration::from_secs_f64(turn as f64 / rate);
-                    if due >= began + TIME {
+                    // Where more is offered than is made, what is left at the end is not made at all.
+                    if due >= began + TIME || Instant::now() >= began + TIME {
                         break;
                     }
                     thread::sleep(due.saturating_duration_since(Instant::now()));
@@ -89,6 +90,8 @@
         body: None,
         arrived: Instant::now(),
         budget: 500_000,
+        front: "bench",
+        caller: "".into(),
         within: None,
     }
 }
@@ -134,67 +137,44 @@
     ProcessingRequest { request: Some(Request::ResponseHeaders(headers)), ..ProcessingRequest::default() }
 }
 
-/// Over gRPC, each decision on a stream of its own, as callers open them; `streams` at once. What is measured is the
-/// decision; its outcome is told after it, and counts as load.
+/// Over gRPC, each decision on a stream of its own, as callers open them; `streams` at once, from threads as the others
+/// have them (an async timer is a millisecond late). What is measured is the decision; its outcome is told after it.
 fn grpc(at: SocketAddr, streams: usize, rate: f64, keyed: Option<&AtomicU64>) -> Run {
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().unwrap();
     let connections = streams.clamp(1, 4);
     let clients: Vec<_> = (0..connections)
         .map(|_| runtime.block_on(ExternalProcessorClient::connect(format!("http://{at}"))).unwrap())
         .collect();
-    let (all, failed) =
-        (Arc::new(Mutex::new(Histogram::<u64>::new(3).unwrap())), Arc::new(AtomicU64::new(0)));
-    let began = Instant::now() + Duration::from_millis(50);
-    let first = keyed.map(|n| n.fetch_add(1 << 24, Ordering::SeqCst));
-    let tasks: Vec<_> = (0..streams)
-        .map(|number| {
-            let mut client = clients[number % connections].clone();
-            let (all, failed) = (all.clone(), failed.clone());
-            runtime.spawn(async move {
-                let mut own = Histogram::<u64>::new(3).unwrap();
-                for turn in (number..).step_by(streams) {
-                    let due = began + Duration::from_secs_f64(turn as f64 / rate);
-                    if due >= began + TIME {
-                        break;
-                    }
-                    tokio::time::sleep_until(due.into()).await;
-                    let ask = match first {
-                        None => asks("GET", PATH, &[]),
-                        Some(first) => {
-                            let key = ("idempotency-key".to_string(), format!("k{}", first + turn as u64));
-                            asks("POST", "/records/1", &[key])
-                        }
-                    };
-                    let (sender, messages) = mpsc::channel(2);
-                    let _ = sender.send(ask).await;
-                    let placed = async {
-                        let mut answers =
-                            client.process(ReceiverStream::new(messages)).await.ok()?.into_inner();
-                        let answer = answers.message().await.ok()??.response?;
-                        Some((answers, matches!(answer, Response::RequestHeaders(_))))
-                    };
-                    let placed = placed.await;
-                    own.saturating_record(due.elapsed().as_micros() as u64);
-                    match placed {
-                        Some((mut answers, true)) => {
-                            let _ = sender.send(response()).await;
-                            drop(sender);
-                            while let Ok(Some(_)) = answers.message().await {}
-                        }
-                        _ => drop(failed.fetch_add(1, Ordering::Relaxed)),
-                    }
+    let handle = runtime.handle();
+    let work = |number: usize| {
+        let mut client = clients[number % connections].clone();
+        move || {
+            let ask = match keyed {
+                None => asks("GET", PATH, &[]),
+                Some(keys) => {
+                    let key = format!("k{}", keys.fetch_add(1, Ordering::Relaxed));
+                    asks("POST", "/records/1", &[("idempotency-key".to_string(), key)])
                 }
-                all.lock().unwrap().add(own).unwrap();
-            })
-        })
-        .collect();
-    runtime.block_on(async {
-        for task in tasks {
-            task.await.unwrap();
+            };
+            let decided = handle.block_on(async {
+                let (sender, messages) = mpsc::channel(2);
+                sender.send(ask).await.ok()?;
+                let mut answers = client.process(ReceiverStream::new(messages)).await.ok()?.into_inner();
+                let answer = answers.message().await.ok()??.response?;
+                matches!(answer, Response::RequestHeaders(_)).then_some((sender, answers))
+            });
+            let placed = decided.is_some();
+            if let Some((sender, mut answers)) = decided {
+                handle.spawn(async move {
+                    let _ = sender.send(response()).await;
+                    drop(sender);
+                    while let Ok(Some(_)) = answers.message().await {}
+                });
+            }
+            placed
         }
-    });
-    let histogram = all.lock().unwrap().clone();
-    Run { histogram, failed: failed.load(Ordering::Relaxed) }
+    };
+    open_loop((0..streams).map(work).collect(), rate)
 }
 
 /// One stream after the other, each flooded with bodies that are answered until the front has had enough of them.
@@ -287,8 +267,9 @@
     drop(held);
     println!("\nas many as it takes: offered far over what is made");
     for streams in [1, 8, 64, 512] {
-        print("bare desk", streams, 1e6, &bare(&front, streams, 1e6));
-        print("gRPC", streams, 1e6, &grpc(front.address, streams, 1e6, None));
+        let made = |run: Run| run.histogram.len() as f64 / TIME.as_secs_f64();
+        let (bare, grpc) = (made(bare(&front, streams, 1e6)), made(grpc(front.address, streams, 1e6, None)));
+        println!("{streams:>5} streams: bare desk {bare:>8.0} decisions a second, gRPC {grpc:>8.0}");
     }
     println!("\nkeyed requests, by when the ledger's entry is told to be written; 64 streams");
     for (what, commit) in [("behind", Commit::Behind), ("each", Commit::Each), ("group", Commit::Group)] {
--- a/fronts/extproc/src/life.rs
+++ b/fronts/extproc/src/life.rs
@@ -14,6 +14,7 @@
 use foldmux_core::clock::span;
 use foldmux_core::desk::{Order, Orders, ORDERS};
 use foldmux_core::lent::{Lent, Told, Way};
+use foldmux_core::limits::{Allowed, Entered, Fill, Held};
 use foldmux_core::tally::End;
 use foldmux_core::{Core, Inquiry};
 use foldmux_repeats::ledger::{End as Word, Refusal, Rule};
@@ -23,7 +24,7 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout, timeout_at};
 use tokio_stream::Stream;
 use tonic::{Code, Status};
@@ -124,6 +125,10 @@
     holds: bool,
     /// Its response has begun, and went on to the client.
     begun: bool,
+    /// The limits of its class and route, with its place among theirs; and what it fills at a source.
+    limits: Option<Held>,
+    fill: Option<Fill>,
+    sent: Instant,
 }
 
 impl Attempt {
@@ -135,6 +140,9 @@
     /// What is known of the attempt's end, to the module and to the ledger.
     fn end(&mut self, ended: Ended, last: bool) {
         self.lent.end(ended.outcome, last);
+        self.fill = None;
+        let (served, never_ran) = (ended.outcome == Outcome::Served, ended.outcome.never_ran());
+        self.limits.iter_mut().for_each(|held| held.heard(self.sent, served, never_ran));
         if let Some(mut grip) = self.grip.take() {
             if ended.over {
                 grip.end(if ended.outcome.never_ran() { Word::NeverRan } else { Word::MayHaveRun });
@@ -168,7 +176,12 @@
     }
 
     /// Where a request goes, or why nowhere: asked of the ledger and the module, and written before it is told.
-    async fn decide(self: &Arc<Front>, headers: &HttpHeaders, arrived: Instant) -> Decided {
+    async fn decide(
+        self: &Arc<Front>,
+        headers: &HttpHeaders,
+        arrived: Instant,
+        caller: &Arc<str>,
+    ) -> Decided {
         let asked = match self.map.read(headers, |class| self.classes[class].name.to_string()) {
             Ok(asked) => asked,
             Err(Unusable::Unmatched) if !self.strict => {
@@ -180,7 +193,7 @@
                 return Decided::Final(Final::unusable(why, Ran::Nothing))
             }
         };
-        match self.place(asked, arrived).await {
+        match self.place(asked, arrived, caller).await {
             Ok((attempt, response)) => Decided::Placed(Box::new(attempt), response),
             Err(last) => Decided::Final(last),
         }
@@ -210,6 +223,7 @@
         self: &Arc<Front>,
         asked: Asked,
         arrived: Instant,
+        caller: &Arc<str>,
     ) -> Result<(Attempt, ProcessingResponse), Final> {
         let class = &self.classes[asked.class];
         let shown = match &asked.token {
@@ -240,6 +254,10 @@
         let mut attempt = match kept {
             Some(kept) if kept.class == asked.class => Attempt { grip, number, ..kept },
             _ => {
+                let limits = self.admit(asked.class, caller, ran).await?;
+                let until = limits.as_ref().map(|held| held.deadline(arrived));
+                let most = until.map(|until| until.saturating_duration_since(arrived).as_micros() as Time);
+                let budget = most.map_or(budget, |most| most.min(budget));
                 let serial = self.serial.fetch_add(1, Ordering::Relaxed);
                 let inquiry = Inquiry {
                     via: self.salt ^ serial,
@@ -254,6 +272,8 @@
                     body: None,
                     arrived,
                     budget: budget.saturating_sub(WAYS).max(1),
+                    front: "ext_proc",
+                    caller: caller.clone(),
                     within,
                 };
                 let (sender, orders) = mpsc::channel(ORDERS);
@@ -273,12 +293,16 @@
                     class,
                     holds,
                     begun: false,
+                    limits,
+                    fill: None,
+                    sent: arrived,
                 }
             }
         };
         let until = (arrived + self.patience).min(attempt.lent.deadline);
+        self.allow(&mut attempt, until, ran).await?;
         loop {
-            let way = match attempt.way.take().filter(|way| attempt.lent.open(way)) {
+            let mut way = match attempt.way.take().filter(|way| attempt.lent.open(way)) {
                 Some(way) => way,
                 None => {
                     // A way that was kept and is no more: as one that was never sent, and the module chooses anew.
@@ -291,6 +315,13 @@
                 // Chosen before it was known that an attempt may have run elsewhere.
                 return Err(Final::given_up("no cache of the attempt's group may be asked", Ran::Maybe));
             }
+            if let Some(held) = &attempt.limits {
+                held.narrow(&mut way.fetch);
+                let fill = held
+                    .fill(&way.fetch)
+                    .ok_or_else(|| Final::refused("too many fills there", ran, held.advice(Time::MAX)))?;
+                attempt.fill = Some(fill);
+            }
             let good_until = unix_ms() + self.good_for.as_millis() as u64;
             let (text, good_until) = match &mut attempt.grip {
                 Some(grip) => {
@@ -320,7 +351,7 @@
             if left == 0 {
                 return Err(Final::given_up("its time is over", ran));
             }
-            attempt.text = text;
+            (attempt.text, attempt.sent) = (text, Instant::now());
             let via = self.salt ^ self.serial.fetch_add(1, Ordering::Relaxed);
             let response = answers::placed(&Placement {
                 way: &way,
@@ -336,6 +367,56 @@
         }
     }
 
+    /// A place among those of the limits that hold for the request, where there are any.
+    async fn admit(&self, class: usize, caller: &str, ran: Ran) -> Result<Option<Held>, Final> {
+        let Some(limiter) = self.core.limits.get() else { return Ok(None) };
+        let (tell, told) = oneshot::channel();
+        match limiter.enter(
+            class,
+            caller,
+            "ext_proc",
+            Box::new(move |has| {
+                let _ = tell.send(has);
+            }),
+        ) {
+            Entered::Free => Ok(None),
+            Entered::In(held) => Ok(Some(held)),
+            Entered::Refused { wait } => Err(Final::refused("its class has no place", ran, wait)),
+            Entered::Waits(mut held, age) => match timeout(age.min(self.patience), told).await {
+                Ok(Ok(true)) => {
+                    held.admitted();
+                    Ok(Some(held))
+                }
+                _ => Err(Final::refused("its class had no place in time", ran, held.advice(Time::MAX))),
+            },
+        }
+    }
+
+    /// Whether the limits allow the attempt, after the pause that they want before it.
+    async fn allow(&self, attempt: &mut Attempt, until: Instant, ran: Ran) -> Result<(), Final> {
+        let Some(held) = &mut attempt.limits else { return Ok(()) };
+        // Chance enough: the serial number and the clock.
+        let clock = std::time::SystemTime::now()
+            .duration_since(std::time::UNIX_EPOCH)
+            .map_or(0, |d| d.as_nanos() as u64);
+        let mixed = self.serial.load(Ordering::Relaxed) ^ clock ^ self.salt;
+        let draw = (mixed.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 11) as f64 / (1u64 << 53) as f64;
+        match held.attempt(draw) {
+            Allowed::Now => return Ok(()),
+            Allowed::After(pause) if Instant::now() + pause < until => {
+                sleep(pause).await;
+                if held.in_window() {
+                    return Ok(());
+                }
+            }
+            Allowed::After(_) | Allowed::No => {}
+        }
+        match held.harmless() {
+            true => Err(Final::refused("its limits allow no other attempt", ran, held.advice(Time::MAX))),
+            false => Err(Final::given_up("its limits allow no other attempt", Ran::Maybe)),
+        }
+    }
+
     fn rule(&self, class: &Class) -> Rule {
         Rule {
             window: class.window / 1_000,
@@ -413,6 +494,7 @@
 pub fn stream(
     front: Arc<Front>,
     mut messages: impl Messages,
+    caller: Arc<str>,
 ) -> impl Stream<Item = Result<ProcessingResponse, Status>> + Send + 'static {
     async_stream::stream! {
         let open = Open::take(&front);
@@ -464,7 +546,7 @@
                     return;
                 }
                 Heard::RequestHeaders(headers) => {
-                    let mut deciding = Box::pin(front.decide(&headers, arrived));
+                    let mut deciding = Box::pin(front.decide(&headers, arrived, &caller));
                     let mut decided = tokio::select! {
                         biased;
                         decided = &mut deciding => Some(decided),
--- a/fronts/extproc/src/serve.rs
+++ b/fronts/extproc/src/serve.rs
@@ -220,7 +220,8 @@
         &self,
         request: Request<Streaming<ProcessingRequest>>,
     ) -> Result<Response<Self::ProcessStream>, Status> {
-        Ok(Response::new(Box::pin(life::stream(self.0.clone(), request.into_inner()))))
+        let caller = request.extensions().get::<Caller>().cloned().unwrap_or_default();
+        Ok(Response::new(Box::pin(life::stream(self.0.clone(), request.into_inner(), caller.0))))
     }
 }
 
@@ -299,20 +300,20 @@
         let _ = stream.set_nodelay(true);
         let (identity, taken) = (identity.clone(), taken.clone());
         tokio::spawn(async move {
-            let io = match identity {
-                None => Io::Plain(stream),
+            let (io, caller) = match identity {
+                None => (Io::Plain(stream), Caller::default()),
                 Some(identity) => match timeout(HANDSHAKE, shake(&identity, stream)).await {
-                    Ok(Some(stream)) => Io::Tls(Box::new(stream)),
+                    Ok(Some((stream, id))) => (Io::Tls(Box::new(stream)), Caller(id.into())),
                     _ => return,
                 },
             };
-            let _ = taken.send(Ok(Link { io, _place: place })).await;
+            let _ = taken.send(Ok(Link { io, caller, _place: place })).await;
         });
     }
 }
 
 /// A connection whose peer has proved an identity that may call, or none.
-async fn shake(identity: &Identity, stream: TcpStream) -> Option<TlsStream<TcpStream>> {
+async fn shake(identity: &Identity, stream: TcpStream) -> Option<(TlsStream<TcpStream>, String)> {
     let stream = match TlsAcceptor::from(identity.current()).accept(stream).await {
         Ok(stream) => stream,
         Err(e) => {
@@ -321,11 +322,11 @@
         }
     };
     let connection = stream.get_ref().1;
-    if !identity.allows(connection.peer_certificates()) {
+    let Some(id) = identity.allowed_id(connection.peer_certificates()) else {
         tracing::warn!("external processor: a caller whose identity is not allowed");
         return None;
-    }
-    Some(stream)
+    };
+    Some((stream, id))
 }
 
 enum Io {
@@ -336,12 +337,25 @@
 /// A connection in its place, which is given back with it.
 struct Link {
     io: Io,
+    caller: Caller,
     _place: OwnedSemaphorePermit,
 }
 
+/// Who a connection's peer proved to be; nobody without TLS.
+#[derive(Clone)]
+pub struct Caller(pub Arc<str>);
+
+impl Default for Caller {
+    fn default() -> Caller {
+        Caller("".into())
+    }
+}
+
 impl Connected for Link {
-    type ConnectInfo = ();
-    fn connect_info(&self) {}
+    type ConnectInfo = Caller;
+    fn connect_info(&self) -> Caller {
+        self.caller.clone()
+    }
 }
 
 impl AsyncRead for Link {
--- a/fronts/src/dns/mod.rs
+++ b/fronts/src/dns/mod.rs
@@ -151,6 +151,8 @@
             body: None,
             arrived: Instant::now(),
             budget: self.patience,
+            front: "dns",
+            caller: "".into(),
             within: None,
         };
         let placed = place(&self.core, &inquiry, self.lease, |way| {
--- a/fronts/src/msgpack/mod.rs
+++ b/fronts/src/msgpack/mod.rs
@@ -43,6 +43,8 @@
     pub classes: Vec<Taken>,
     pub listed: Arc<AtomicBool>,
     pub leaving: Arc<AtomicBool>,
+    /// Callers of this front prove no identity.
+    pub nobody: Arc<str>,
 }
 
 impl Front {
@@ -150,6 +152,8 @@
             body: call.body,
             arrived,
             budget: budget.saturating_sub(WAYS).max(1),
+            front: "msgpack",
+            caller: self.nobody.clone(),
             within: None,
         };
         let reply = Answering { connection: connection.clone(), id, deadline, done: false };
--- a/identity/src/lib.rs
+++ b/identity/src/lib.rs
@@ -57,8 +57,13 @@
 
     /// Whether the peer's certificate, whose chain was verified, carries an allowed ID.
     pub fn allows(&self, peer: Option<&[CertificateDer]>) -> bool {
+        self.allowed_id(peer).is_some()
+    }
+
+    /// The peer's ID, if it is an allowed one.
+    pub fn allowed_id(&self, peer: Option<&[CertificateDer]>) -> Option<String> {
         let id = peer.and_then(|chain| chain.first()).and_then(|leaf| spiffe_id(leaf));
-        id.is_some_and(|id| self.allowed.contains(&id))
+        id.filter(|id| self.allowed.contains(id))
     }
 }
 
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -3,6 +3,7 @@
 mod model;
 mod plot;
 mod scenario;
+mod storm;
 
 use lexopt::{Arg, Parser};
 use model::{play, Result as Day};
@@ -13,7 +14,8 @@
 const USAGE: &str = "\
 foldmux-lab, a model of what foldmux balances, in virtual time
 
-  foldmux-lab run SCENARIO [--json]                          beside the same day without a rewiring, and without shields
+  foldmux-lab run SCENARIO [--json]                          beside the same day without a rewiring, and without shields;
+                                                             a storm: with its limits, beside today's build
   foldmux-lab sweep SCENARIO --field F --values A,B,… [--repeats N] [--json]
   foldmux-lab plot SCENARIO --field F --values A,B,… [--repeats N] --out FILE.svg
   foldmux-lab help
@@ -81,6 +83,27 @@
     };
     let words: Vec<&str> = words.iter().map(String::as_str).collect();
     match words[..] {
+        ["run", file] if is_storm(file)? => {
+            let text = std::fs::read_to_string(file).map_err(|e| format!("{file}: {e}"))?;
+            let storm = storm::Storm::parse(file, &text)?;
+            let report = storm::report(&storm, &storm::limits(&storm, std::path::Path::new(file))?);
+            if json {
+                println!("{}", serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?);
+            } else {
+                println!("             load  recovery s  worth kept  records  attempts  rules broken");
+                for (name, day) in [("limited", &report.limited), ("today", &report.today)] {
+                    println!(
+                        "{name:<10} {:>6.2} {:>11.1} {:>11.3} {:>8.4} {:>9.3}  {:?}",
+                        day.load_factor,
+                        day.recovery_s,
+                        day.worth_kept,
+                        day.records_served,
+                        day.attempts_per_request,
+                        day.broken
+                    );
+                }
+            }
+        }
         ["run", file] => {
             let run = beside(&scenario(file)?)?;
             match json {
@@ -117,6 +140,13 @@
     Ok(())
 }
 
+/// Whether a scenario is a storm, and not a day of the hierarchy.
+fn is_storm(file: &str) -> Result<bool, String> {
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{file}: {e}"))?;
+    let table: toml::Table = toml::from_str(&text).map_err(|e| format!("{file}: {e}"))?;
+    Ok(table.contains_key("fail_part"))
+}
+
 fn text(parser: &mut Parser) -> Result<String, String> {
     let value = parser.value().map_err(|e| e.to_string())?;
     value.into_string().map_err(|v| format!("{v:?} is no text"))
--- /dev/null
+++ b/limits/benches/limits.rs
@@ -0,0 +1,55 @@
+//! What limits cost: a request's values out of many routes, a place taken and given back, the check of a large file.
+
+use foldmux_limits::check::check;
+use foldmux_limits::gate::{place, Gate};
+use foldmux_limits::table::{Draft, Match, Route, Said, Table};
+use foldmux_limits::values::{Concurrency, Layer};
+use foldmux_limits::Account;
+
+fn main() {
+    divan::main();
+}
+
+fn draft(routes: usize) -> Draft {
+    let route = |n: usize| Said {
+        at: format!("f.star:{}", n + 3),
+        value: Route {
+            name: format!("r{n}"),
+            class: ["mix-video", "formula-card", "mix-record"][n % 3].to_string(),
+            matching: Match { zone: Some(format!("zone-{n}")), ..Match::default() },
+            layer: Layer { attempts: Some(2 + n as u64 % 3), keep: Some(2), ..Layer::default() },
+        },
+    };
+    let places = Layer { concurrency: Some(Concurrency::Fixed { most: 1 }), ..Layer::default() };
+    let classes = vec![Said { at: "f.star:1".into(), value: ("mix-video".to_string(), places) }];
+    Draft { classes, routes: (0..routes).map(route).collect(), ..Draft::default() }
+}
+
+#[divan::bench(args = [1, 20, 200])]
+fn resolve(bencher: divan::Bencher, routes: usize) {
+    let table = Table::new(&Account::default(), &draft(routes));
+    // The last route of the class: all before it are looked at.
+    let zone = format!("zone-{}", (routes - 1) / 3 * 3);
+    bencher.bench(|| table.find(0, divan::black_box(&zone), "", "msgpack").map(|r| r.values.attempts));
+}
+
+#[divan::bench]
+fn admit_and_end(bencher: divan::Bencher) {
+    let table = Table::new(&Account::default(), &draft(1));
+    let mut gate = Gate::new(&table);
+    let at = place(&table.by_class[1][0]);
+    bencher.bench_local(|| {
+        gate.admit(1, &at, 7);
+        gate.first(&at);
+        gate.ended(2, &at)
+    });
+}
+
+#[divan::bench(sample_count = 10)]
+fn check_200_routes(bencher: divan::Bencher) {
+    let (account, draft) = (Account::default(), draft(200));
+    bencher.bench(|| {
+        let faults = check(&account, divan::black_box(&draft));
+        assert!(faults.is_empty(), "{}", faults[0]);
+    });
+}
--- /dev/null
+++ b/limits/tests/faulty/01-unknown-class.star
@@ -0,0 +1,1 @@
+limits("mix-vido", attempts = 3)
--- /dev/null
+++ b/limits/tests/faulty/02-unknown-class-of-route.star
@@ -0,0 +1,1 @@
+route("north", of = "mix-vido", zone = "oulu", attempts = 3)
--- /dev/null
+++ b/limits/tests/faulty/03-unknown-budget.star
@@ -0,0 +1,1 @@
+limits("mix-video", budget = "repeats")
--- /dev/null
+++ b/limits/tests/faulty/04-unknown-budget-of-all.star
@@ -0,0 +1,1 @@
+limits(budget = "repeats")
--- /dev/null
+++ b/limits/tests/faulty/05-unknown-budget-of-route.star
@@ -0,0 +1,1 @@
+route("north", of = "mix-video", zone = "oulu", budget = "repeats")
--- /dev/null
+++ b/limits/tests/faulty/07-unknown-front.star
@@ -0,0 +1,1 @@
+route("north", of = "mix-video", front = "http", attempts = 3)
--- /dev/null
+++ b/limits/tests/faulty/08-twice-a-class.star
@@ -0,0 +1,2 @@
+limits("mix-video", attempts = 3)
+limits("mix-video", keep = 1)
--- /dev/null
+++ b/limits/tests/faulty/11-twice-all.star
@@ -0,0 +1,2 @@
+limits(attempts = 3)
+limits(keep = 2)
--- /dev/null
+++ b/limits/tests/faulty/14-deadline-record.star
@@ -0,0 +1,1 @@
+limits("mix-record", deadline_ms = 3500)
--- /dev/null
+++ b/limits/tests/faulty/15-deadline-of-all.star
@@ -0,0 +1,1 @@
+limits(deadline_ms = 4000)
--- /dev/null
+++ b/limits/tests/faulty/17-no-room-zero.star
@@ -0,0 +1,1 @@
+limits("mix-video", deadline_ms = 0)
--- /dev/null
+++ b/limits/tests/faulty/18-no-room-slack.star
@@ -0,0 +1,1 @@
+limits("formula-card", deadline_ms = 8)
--- /dev/null
+++ b/limits/tests/faulty/20-attempt-past-account.star
@@ -0,0 +1,1 @@
+limits("formula-card", attempt_ms = 3100)
--- /dev/null
+++ b/limits/tests/faulty/23-too-many-attempts.star
@@ -0,0 +1,1 @@
+limits("formula-card", attempts = 9)
--- /dev/null
+++ b/limits/tests/faulty/24-too-many-attempts-of-all.star
@@ -0,0 +1,1 @@
+limits(attempts = 20)
--- /dev/null
+++ b/limits/tests/faulty/26-copies-record.star
@@ -0,0 +1,1 @@
+limits("mix-record", copies = 2)
--- /dev/null
+++ b/limits/tests/faulty/27-copies-none.star
@@ -0,0 +1,1 @@
+limits("mix-video", copies = 0)
--- /dev/null
+++ b/limits/tests/faulty/28-wait-past-account.star
@@ -0,0 +1,1 @@
+limits("mix-video", wait_ms = 501)
--- /dev/null
+++ b/limits/tests/faulty/29-wait-of-all.star
@@ -0,0 +1,1 @@
+limits(wait_ms = 60000)
--- /dev/null
+++ b/limits/tests/faulty/30-window-past-archive.star
@@ -0,0 +1,1 @@
+limits("mix-record", window_ms = 2001)
--- /dev/null
+++ b/limits/tests/faulty/32-not-keyed-window.star
@@ -0,0 +1,1 @@
+limits("mix-video", window_ms = 1000)
--- /dev/null
+++ b/limits/tests/faulty/33-not-keyed-group.star
@@ -0,0 +1,1 @@
+limits("formula-card", group = "zone")
--- /dev/null
+++ b/limits/tests/faulty/34-stale-past-purge.star
@@ -0,0 +1,1 @@
+limits("mix-video", stale_ms = 1001)
--- /dev/null
+++ b/limits/tests/faulty/36-rank.star
@@ -0,0 +1,1 @@
+limits("mix-video", keep = 4)
--- /dev/null
+++ b/limits/tests/faulty/37-rank-of-all.star
@@ -0,0 +1,1 @@
+limits(keep = 9)
--- /dev/null
+++ b/limits/tests/faulty/41-backoff-most-alone.star
@@ -0,0 +1,1 @@
+limits("mix-video", backoff_most_ms = 100)
--- /dev/null
+++ b/limits/tests/faulty/44-backoff-past-deadline.star
@@ -0,0 +1,1 @@
+limits("formula-card", backoff_ms = 3000)
--- /dev/null
+++ b/limits/tests/faulty/49-adaptive-upside-down.star
@@ -0,0 +1,1 @@
+limits("mix-video", adaptive = [50, 10])
--- /dev/null
+++ b/limits/tests/faulty/50-adaptive-least-none.star
@@ -0,0 +1,1 @@
+limits("mix-video", adaptive = [0, 10])
--- /dev/null
+++ b/limits/tests/faulty/52-places-past-room.star
@@ -0,0 +1,1 @@
+limits("mix-video", places = 5000)
--- /dev/null
+++ b/limits/tests/faulty/53-adaptive-past-room.star
@@ -0,0 +1,1 @@
+limits("mix-video", adaptive = [10, 5000])
--- /dev/null
+++ b/limits/tests/faulty/55-places-twice.star
@@ -0,0 +1,1 @@
+limits("mix-video", places = 20, adaptive = [10, 20])
--- /dev/null
+++ b/limits/tests/faulty/56-budget-percent.star
@@ -0,0 +1,1 @@
+budget("video", percent = 501, burst = 10)
--- /dev/null
+++ b/limits/tests/faulty/57-budget-percent-negative.star
@@ -0,0 +1,1 @@
+budget("video", percent = -1, burst = 10)
--- /dev/null
+++ b/limits/tests/faulty/59-budget-named-none.star
@@ -0,0 +1,1 @@
+budget("none", percent = 10, burst = 10)
--- /dev/null
+++ b/limits/tests/faulty/60-budget-circle.star
@@ -0,0 +1,1 @@
+budget("a", percent = 10, burst = 10, parent = "a")
--- /dev/null
+++ b/limits/tests/faulty/62-never-made-record.star
@@ -0,0 +1,1 @@
+limits("mix-record", attempt_ms = 700, attempts = 4)
--- /dev/null
+++ b/limits/tests/faulty/66-no-limit-of-that-name.star
@@ -0,0 +1,1 @@
+limits("mix-video", attemps = 3)
--- /dev/null
+++ b/limits/tests/faulty/68-negative.star
@@ -0,0 +1,1 @@
+limits("mix-video", attempts = -3)
--- /dev/null
+++ b/limits/tests/faulty/69-not-a-group.star
@@ -0,0 +1,1 @@
+limits("mix-record", group = "world")
--- /dev/null
+++ b/limits/tests/faulty/together-04-bursts.star
@@ -0,0 +1,2 @@
+budget("video", percent = 10, burst = 400)
+budget("card", percent = 10, burst = 400)
--- /dev/null
+++ b/limits/tests/faulty/together-07-budget-of-all.star
@@ -0,0 +1,2 @@
+budget("repeats", percent = 20, burst = 20)
+limits(budget = "repeats")
--- /dev/null
+++ b/limits/tests/faulty/together-08-parent-starves.star
@@ -0,0 +1,5 @@
+budget("all", percent = 20, burst = 50)
+budget("video", percent = 20, burst = 20, parent = "all")
+budget("record", percent = 20, burst = 20, parent = "all")
+limits("mix-video", budget = "video")
+limits("mix-record", budget = "record")
--- /dev/null
+++ b/limits/tests/faulty/together-09-parent-starves-by-two.star
@@ -0,0 +1,7 @@
+budget("all", percent = 20, burst = 50)
+budget("video", percent = 10, burst = 20, parent = "all")
+budget("card", percent = 10, burst = 20, parent = "all")
+budget("record", percent = 20, burst = 20, parent = "all")
+limits("mix-video", budget = "video")
+limits("formula-card", budget = "card")
+limits("mix-record", budget = "record")
--- /dev/null
+++ b/limits/tests/faulty/together-10-places-of-classes.star
@@ -0,0 +1,2 @@
+limits("mix-video", places = 300)
+limits("formula-card", places = 300)
--- /dev/null
+++ b/limits/tests/faulty/together-16-window-of-a-route-and-its-class.star
@@ -0,0 +1,1 @@
+route("north", of = "mix-record", zone = "oulu", window_ms = 1000)
--- /dev/null
+++ b/limits/tests/faulty/together-17-groups-of-routes.star
@@ -0,0 +1,1 @@
+route("north", of = "mix-record", zone = "oulu", group = "zone")
--- a/operator/src/values.rs
+++ b/operator/src/values.rs
@@ -2,6 +2,7 @@
 
 use foldmux_hierarchy::cold::Rule;
 use foldmux_hierarchy::tree::{Kind, Tree};
+use foldmux_limits::table::Draft;
 use garde::Validate;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -13,6 +14,8 @@
     pub relay: Option<Relay>,
     pub dns: Option<Dns>,
     pub ext_proc: Option<ExtProc>,
+    /// Limits by class and route, as the file says them; the account's rules are checked by whoever knows the account.
+    pub limits: Option<Draft>,
 }
 
 /// The fill tree, with what a node needs to reach the others.
--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -62,6 +62,8 @@
     pub journal: Option<SocketAddr>,
     pub known: Feed,
     pub bounds: Bounds,
+    /// The limits that the bounds follow from: descriptors, and memory (MB).
+    pub limits: [u64; 2],
     pub decoded: Decoded,
 }
 
@@ -98,6 +100,7 @@
         journal: document.journal,
         known: document.known,
         bounds: Bounds::new(&document.limits),
+        limits: [document.limits.sockets as u64, document.limits.memory_mb as u64],
         decoded,
     })
 }
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod config;
 pub mod journal;
+pub mod limits;
 pub mod log;
 pub mod server;
 pub mod wiring;
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -5,7 +5,7 @@
 use foldmux_operator::{Hierarchy, Operator};
 use foldmux_proxy::log::{self, Form};
 use foldmux_proxy::wiring::Zones;
-use foldmux_proxy::{config, server};
+use foldmux_proxy::{config, limits, server};
 use lexopt::{Arg, Parser};
 use std::ffi::OsString;
 use std::path::{Path, PathBuf};
@@ -20,6 +20,8 @@
   foldmux plan OLD NEW                                     what a rewiring would move, and whether it is taken
   foldmux extproc-check ADDRESS [--method M] [--path P] [--header NAME:VALUE]...
                                                            ask a running external processor for one decision
+  foldmux limits show CLASS [--route R] | export | schema [--operator FILE]
+  foldmux limits diff OLD NEW                              what differs between two files' limits
   foldmux version
   foldmux help
 
@@ -36,6 +38,7 @@
     Check,
     Plan,
     Ask,
+    Limits,
     Version,
     Help,
 }
@@ -51,6 +54,9 @@
     method: String,
     path: String,
     headers: Vec<(String, String)>,
+    /// Of `limits`.
+    words: Vec<String>,
+    route: Option<String>,
     form: Form,
     level: Option<String>,
 }
@@ -71,7 +77,7 @@
     let mut operator = std::env::var_os("FOLDMUX_OPERATOR").map(PathBuf::from);
     let (mut files, mut form) = (Vec::new(), Form::Plain);
     let (mut method, mut path) = ("GET".to_string(), "/v2/q/formula-card/0000000000000001/0".to_string());
-    let mut headers = Vec::new();
+    let (mut headers, mut words, mut route) = (Vec::new(), Vec::new(), None);
     let said = |e: lexopt::Error| e.to_string();
     let word = |value: OsString| value.into_string().map_err(|v| format!("{v:?} is no text"));
     while let Some(arg) = parser.next().map_err(said)? {
@@ -83,6 +89,7 @@
                     "check-config" => Command::Check,
                     "plan" => Command::Plan,
                     "extproc-check" => Command::Ask,
+                    "limits" => Command::Limits,
                     "version" => Command::Version,
                     "help" => Command::Help,
                     other => return Err(format!("no command {other:?}; see foldmux help")),
@@ -92,6 +99,10 @@
             Arg::Value(place) if command == Some(Command::Ask) && files.is_empty() => {
                 files.push(place.into())
             }
+            Arg::Value(value) if command == Some(Command::Limits) && words.len() < 3 => {
+                words.push(word(value)?)
+            }
+            Arg::Long("route") => route = Some(word(parser.value().map_err(said)?)?),
             Arg::Long("method") => method = word(parser.value().map_err(said)?)?,
             Arg::Long("path") => path = word(parser.value().map_err(said)?)?,
             Arg::Long("header") => {
@@ -111,11 +122,12 @@
         }
     }
     let command = command.ok_or("no command; see foldmux help")?;
-    Ok(Line { command, config, operator, name, files, method, path, headers, form, level })
+    Ok(Line { command, config, operator, name, files, method, path, headers, words, route, form, level })
 }
 
 fn run(line: Line) -> Result<(), String> {
-    let Line { command, config, operator, name, files, method, path, headers, form, level } = line;
+    let Line { command, config, operator, name, files, method, path, headers, words, route, form, level } =
+        line;
     match command {
         Command::Help => println!("{USAGE}"),
         Command::Version => println!("foldmux {}", env!("CARGO_PKG_VERSION")),
@@ -133,6 +145,7 @@
             let place = place.to_string_lossy();
             print!("{}", foldmux_extproc::check::check(&place, &method, &path, &headers)?);
         }
+        Command::Limits => print!("{}", limits::command(&words, operator.as_deref(), route.as_deref())?),
         Command::Serve => {
             let file = place(config)?;
             let config = config::read(&file)?;
@@ -166,8 +179,10 @@
 
 fn check(config: Option<OsString>, operator: Option<PathBuf>) -> Result<(), String> {
     let operator = operator.map(|file| load(&file).map(|held| (file, held))).transpose()?;
+    let mut account = foldmux_limits::Account::default();
     if config.is_some() || operator.is_none() || std::env::var_os("GW_CONFIG").is_some() {
         let config = config::read(&place(config)?)?;
+        account = limits::account(&config.decoded, config.limits[0], config.limits[1]);
         let (classes, bounds) = (config.decoded.classes.join(", "), config.bounds);
         println!("{} on {}: classes {classes}", config.name, config.listen);
         println!("{bounds:?}, {} events known", config.known.entries.len());
@@ -192,6 +207,14 @@
         }
     }
     held.relay.iter().for_each(|relay| println!("  relay: {relay:?}"));
+    match &held.limits {
+        None => println!("  limits: off"),
+        Some(draft) => {
+            let table = limits::table(&account, draft).map_err(|faults| faults.join("\nfoldmux: "))?;
+            let own = table.all().filter(|resolved| !resolved.at.is_empty()).count();
+            println!("  limits: {own} sets, {} budgets", table.budgets.len());
+        }
+    }
     match &held.ext_proc {
         None => println!("  ext_proc: off"),
         Some(own) => println!("  ext_proc: {own:?}"),
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -2,11 +2,13 @@
 
 use crate::config::{self, Config};
 use crate::journal::{Journal, Names, Service};
+use crate::limits;
 use crate::wiring::{Live, Zones};
 use foldmux::interface::{Class, Repeat, Time};
 use foldmux::Router;
 use foldmux_core::buffers::Buffers;
 use foldmux_core::clock::{span, Clock};
+use foldmux_core::limits::Limiter;
 use foldmux_core::members::Members;
 use foldmux_core::{Core, Desk};
 use foldmux_extproc::life::Class as Processed;
@@ -63,6 +65,14 @@
     let taken: Vec<Taken> = classes.iter().zip(&decoded.settings.classes).map(served).collect();
     let writes: Vec<bool> = decoded.settings.classes.iter().map(|c| c.pass_on).collect();
     let attempts = decoded.settings.max_attempts;
+    let account = limits::account(&decoded, config.limits[0], config.limits[1]);
+    let limited = operator
+        .limits
+        .as_ref()
+        .map(|draft| limits::table(&account, draft).map_err(|faults| faults.join("\nfoldmux: ")));
+    let limited = limited.transpose()?;
+    let repeats: Vec<Repeat> = decoded.settings.classes.iter().map(|class| class.repeat).collect();
+    let own_zone = decoded.zones.get(decoded.settings.zone).cloned().unwrap_or_default();
     let router = Router::new(decoded.settings, config.seed);
     let (mut desk, handle) = Desk::new(router, clock.clone(), members.clone());
     let connections = pool.clone();
@@ -76,6 +86,9 @@
     let buffers = Buffers::new(bounds.buffers);
     let (tries, most) = (Box::new(upstream), bounds.open);
     let core = Core::new(handle.clone(), clock.clone(), buffers, members, tries, shed_wait, cold_for, most);
+    if let Some(table) = limited {
+        let _ = core.limits.set(Limiter::new(table, clock.clone(), own_zone, repeats));
+    }
     if let Some(mut dns) = dns {
         let serial = dns.notify(&mut desk)?;
         let classes = classes.iter().cloned().zip(writes).collect();
@@ -113,7 +126,13 @@
         TcpListener::bind(config.listen).map_err(|e| format!("listening on {}: {e}", config.listen))?;
     let on = listener.local_addr().map_err(|e| e.to_string())?;
     let leaving = Arc::new(AtomicBool::new(false));
-    let front = Arc::new(Front { core: core.clone(), classes: taken, listed, leaving: leaving.clone() });
+    let front = Arc::new(Front {
+        core: core.clone(),
+        classes: taken,
+        listed,
+        leaving: leaving.clone(),
+        nobody: "".into(),
+    });
     let serve = move |place| front.serve(place);
     let places = Places::new(bounds.clients);
     named("accept", READER_STACK, move || accept(&listener, &places, READER_STACK, Arc::new(serve)))?;
@@ -136,6 +155,9 @@
         if let (Some(live), Some(own_file)) = (&mut live, own_file) {
             tracing::info!("rewire: {}", told(rewire(own_file, live)));
         }
+        if let (Some(limiter), Some(own_file)) = (core.limits.get(), own_file) {
+            tracing::info!("limits: {}", told(relimit(own_file, &account, limiter)));
+        }
         if let (Some(serving), Some(own_file)) = (&processor, own_file) {
             tracing::info!("token keys: {}; {}", told(rekey(own_file, serving)), serving.line());
         }
@@ -164,6 +186,16 @@
     live.take(&hierarchy)
 }
 
+/// Reads the operator's file again and takes its limits, all at once; those who are open keep theirs.
+fn relimit(file: &Path, account: &foldmux_limits::Account, limiter: &Limiter) -> Result<String, String> {
+    let operator = foldmux_operator::load(file).map_err(|faults| faults.join("; "))?;
+    let draft = operator.limits.unwrap_or_default();
+    let table = limits::table(account, &draft).map_err(|faults| faults.join("; "))?;
+    let count = table.all().filter(|resolved| !resolved.at.is_empty()).count();
+    limiter.swap(table);
+    Ok(format!("{count} sets of limits taken"))
+}
+
 /// Reads the operator's file again and takes its keys for tokens.
 fn rekey(file: &Path, serving: &Serving) -> Result<String, String> {
     let operator = foldmux_operator::load(file).map_err(|faults| faults.join("; "))?;
