Number a keyed attempt as its token does, so that a kept way is found by the next one

Cause, seen in reading: an attempt's number was counted from the token that was shown; the ledger counts those too whose tokens were not. A way that the module chose for the next attempt was then kept under a number that no token has, and let go unused. A single-shot request whose attempt is proved not to have run was refused its next one as well.

Test: a_keyed_attempt_that_was_turned_away_is_the_caller_s_to_make_again_at_once.

--- a/fronts/extproc/src/life.rs
+++ b/fronts/extproc/src/life.rs
@@ -245,12 +245,14 @@
             grip =
                 Some(self.keeper.ask(mark, self.rule(class), shown.as_ref()).map_err(|no| self.no(no, ran))?);
             key = Some(told);
-        } else if class.repeat == Repeat::SingleShot && shown.is_some() {
-            return Err(Final::given_up("an attempt may have run, and none may follow", Ran::Maybe));
         }
         let within = grip.as_ref().and_then(Grip::within);
         let budget = asked.wait_ms.map_or(class.longest, |ms| ms.saturating_mul(1_000).min(class.longest));
         let kept = shown.as_ref().and_then(|token| self.parked.take(token.request, token.attempt));
+        if class.repeat == Repeat::SingleShot && shown.is_some() && kept.is_none() {
+            // Only the module, which saw that nothing ran, allows another.
+            return Err(Final::given_up("an attempt may have run, and none may follow", Ran::Maybe));
+        }
         let mut attempt = match kept {
             Some(kept) if kept.class == asked.class => Attempt { grip, number, ..kept },
             _ => {
@@ -327,6 +329,9 @@
                 Some(grip) => {
                     let (token, text) =
                         grip.hand(attempt.request, group).await.map_err(|no| self.no(no, ran))?;
+                    // The ledger counts a key's attempts, also those whose tokens were not shown: a way that is kept for
+                    // the next one is found by the number that is in the token.
+                    attempt.number = token.attempt;
                     (text, good_until.min(token.expires))
                 }
                 None => {
--- a/fronts/extproc/tests/streams.rs
+++ b/fronts/extproc/tests/streams.rs
@@ -244,6 +244,33 @@
     instance.settled();
 }
 
+#[test]
+fn a_keyed_attempt_that_was_turned_away_is_the_caller_s_to_make_again_at_once() {
+    let folder = tempfile::tempdir().unwrap();
+    // Each key is turned away untouched by whichever cache comes first, and runs at the second attempt.
+    let cache = Source::start(|ask| match ask.before.is_multiple_of(2) {
+        true => Act::Say { status: 503, fields: "Srv-Untouched: 1\r\n".into() },
+        false => Act::give(LENGTH, Duration::ZERO),
+    });
+    let instance =
+        Instance::start(&script("", ""), store(folder.path()), &[cache.address(); 2], cache.address());
+    let caller = Caller::new(Setup { retries: 0, ..Setup::plain(vec![instance.address]) });
+    for n in 0..10 {
+        let request = caller::Request::keyed("/records/1", "idempotency-key", &format!("u-{n}"));
+        // Whoever comes a second time under the key, without its token, goes on by the ledger's count.
+        for _ in 0..2 {
+            let answer = caller.ask(&request).unwrap();
+            assert!(matches!(answer.status, 200 | 503), "{answer:?}");
+        }
+    }
+    let front = &instance.serving.front;
+    let [placed, again] = [&front.counts.placed, &front.counts.again].map(|n| n.load(Ordering::SeqCst));
+    assert!(again > 0, "{placed} {again}");
+    // A way that was kept is the next attempt's: nothing is asked of the module twice for it.
+    assert_eq!(caller.counts.again.load(Ordering::SeqCst), again);
+    instance.settled();
+}
+
 #[test]
 fn a_placement_whose_cache_drains_is_not_sent_after_its_time() {
     let folder = tempfile::tempdir().unwrap();
