Tell two attempts of one number apart: a caller that got no answer counts anew elsewhere

Cause: a caller whose first question got no answer at one instance asked another without a token, and there attempt 0 was handed out again. Where that one may have run, and the caller came back to the first instance with its token (the other was killed), the ledger there took the token's attempt 0 for its own attempt 0, of which it knew that it was never told: granted anywhere, and the key ran in another group.

An entry is of a token's attempt only if number, group and time are the same. Else both count: quiet when both are, within the group if it is one, refused (may have run) if there are two.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	target/release/foldmux-demo target/release/foldmux
 
 # Two instances of the external processor behind a calling proxy that cancels, resets and retries, while the instances
-# are killed and started again: what ran twice and whose answer was lost. Some 15 s after the build.
+# are killed and started again: what ran twice and whose answer was lost. Some 12 s after the build.
 demo-extproc: build
 	target/release/foldmux-demo target/release/foldmux extproc
 
--- a/demo/src/extproc.rs
+++ b/demo/src/extproc.rs
@@ -246,7 +246,7 @@
             return untouched;
         }
         let running = archive.arrive(ask.field("via-token"), cell);
-        thread::sleep(Duration::from_millis(chance % 12));
+        thread::sleep(Duration::from_millis(chance % 50));
         drop(running);
         match chance {
             // It ran, and its answer is lost in one of several ways.
--- a/fronts/extproc/src/keyed.rs
+++ b/fronts/extproc/src/keyed.rs
@@ -186,7 +186,9 @@
                     Refusal::Running { .. } | Refusal::Deciding => &self.counts.running,
                     Refusal::Replayed => &self.counts.replayed,
                     Refusal::Full => &self.counts.full,
-                    Refusal::WindowOver | Refusal::TooMany | Refusal::OtherKey => &self.counts.given_up,
+                    Refusal::WindowOver | Refusal::TooMany | Refusal::Torn | Refusal::OtherKey => {
+                        &self.counts.given_up
+                    }
                 };
                 count.fetch_add(1, Ordering::Relaxed);
                 Err(No::Ledger(refusal))
--- a/fronts/extproc/src/life.rs
+++ b/fronts/extproc/src/life.rs
@@ -209,7 +209,7 @@
         let why = no.to_string();
         match no {
             No::Token(_) | No::Ledger(Refusal::OtherKey) => Final::unusable(&why, Ran::Maybe),
-            No::Ledger(Refusal::WindowOver | Refusal::TooMany | Refusal::Replayed) => {
+            No::Ledger(Refusal::WindowOver | Refusal::TooMany | Refusal::Torn | Refusal::Replayed) => {
                 Final::given_up(&why, Ran::Maybe)
             }
             No::Ledger(Refusal::Running { .. }) => Final::refused(&why, Ran::Maybe, wait),
--- a/repeats/src/ledger.rs
+++ b/repeats/src/ledger.rs
@@ -40,6 +40,8 @@
     /// One may have run, and the archive no longer drops a repeat.
     WindowOver,
     TooMany,
+    /// Attempts at two instances may have run, in two groups.
+    Torn,
     /// The token is of an attempt that another has followed.
     Replayed,
     /// The token is of another key.
@@ -61,6 +63,7 @@
             Refusal::Deciding => f.write_str("another request under this key is being placed"),
             Refusal::WindowOver => f.write_str("an attempt may have run, and a repeat would run again"),
             Refusal::TooMany => f.write_str("all attempts are used"),
+            Refusal::Torn => f.write_str("attempts may have run in two groups"),
             Refusal::Replayed => f.write_str("the token's attempt has been followed by another"),
             Refusal::OtherKey => f.write_str("the token is of another key"),
             Refusal::Full => f.write_str("the ledger of keyed attempts is full"),
@@ -236,11 +239,8 @@
         let expires = now.saturating_add(rule.good_for);
         let entry = match (self.entries.get(&key), shown) {
             (Some(entry), Some(token)) if token.attempt < entry.attempt => return Err(Refusal::Replayed),
-            // An attempt has followed elsewhere: by that, and by what is known here of those before it.
-            (Some(entry), Some(token)) if token.attempt > entry.attempt => {
-                let later = of_token(token, rule);
-                Entry { ran: entry.ran.or(later.ran), ..later }
-            }
+            // Another attempt than the one that is known here: by both.
+            (Some(entry), Some(token)) if !is_of(entry, token, rule) => merged(entry, token, rule)?,
             (Some(entry), _) => *entry,
             // Of another instance, or from before a store was lost: by what the token says, which may have run.
             (None, Some(token)) => of_token(token, rule),
@@ -294,6 +294,27 @@
     }
 }
 
+/// Whether an entry is of the attempt that a token is of. Guards against two attempts of one number: a caller that got no
+/// answer at one instance asks another, which begins to count anew.
+fn is_of(entry: &Entry, token: &Token, rule: &Rule) -> bool {
+    let quiet_at = token.expires.saturating_add(rule.runs_for);
+    (entry.attempt, entry.group, entry.quiet_at) == (token.attempt, token.group, quiet_at)
+}
+
+/// What is known here and what a token tells of another attempt: both may have run, and both may be running. Where that
+/// is in two groups, no repeat is safe.
+fn merged(entry: &Entry, token: &Token, rule: &Rule) -> Result<Entry, Refusal> {
+    let other = of_token(token, rule);
+    let ran = entry.ran.or(entry.out.then_some((entry.handed, entry.group)));
+    if ran.is_some_and(|(_, group)| group != token.group) {
+        return Err(Refusal::Torn);
+    }
+    let first = ran.map_or(token.first, |(at, _)| at.min(token.first));
+    let quiet_at = other.quiet_at.max(if entry.out { entry.quiet_at } else { 0 });
+    let forget_at = other.forget_at.max(entry.forget_at);
+    Ok(Entry { ran: Some((first, token.group)), quiet_at, forget_at, ..other })
+}
+
 /// What a token alone tells: its attempt was handed out, and nothing is known of its end.
 fn of_token(token: &Token, rule: &Rule) -> Entry {
     Entry {
@@ -433,6 +454,11 @@
         Arrives(bool),
         /// Its end becomes known, truly or not at all.
         Known(bool),
+        /// Asks at an instance without a token, and the answer never comes: it was dropped there, or lost on its way.
+        Lost {
+            at: bool,
+            dropped: bool,
+        },
         /// The first instance dies and comes back with its store.
         Crash,
     }
@@ -443,6 +469,7 @@
             4 => (any::<bool>(), any::<bool>()).prop_map(|(at, token)| Step::Ask { at, token }),
             3 => any::<bool>().prop_map(Step::Arrives),
             2 => any::<bool>().prop_map(Step::Known),
+            2 => (any::<bool>(), any::<bool>()).prop_map(|(at, dropped)| Step::Lost { at, dropped }),
             1 => Just(Step::Crash),
         ];
         proptest::collection::vec(step, 1..80)
@@ -517,6 +544,21 @@
                         instances[at].ended(key(1), token.attempt, end);
                         out = None;
                     }
+                    // Before its first token a caller has none to show.
+                    Step::Lost { at, dropped } if last.is_none() => {
+                        let at = at as usize;
+                        let Ok(grant) = instances[at].ask(now, key(1), &RULE, None) else { continue };
+                        let (attempt, group) = match grant {
+                            Grant::Anywhere { attempt, .. } => (attempt, 9 + at as u32),
+                            Grant::Within { attempt, group, .. } => (attempt, group),
+                        };
+                        let entry = instances[at].hand(now, key(1), &RULE, &grant, group);
+                        let ended = if dropped { instances[at].ended(key(1), attempt, End::NeverRan) } else { None };
+                        if at == 0 {
+                            stored.insert(key(1), ended.unwrap_or(entry));
+                        }
+                    }
+                    Step::Lost { .. } => {}
                     Step::Crash => {
                         instances[0] = Ledger::restored(4, stored.iter().map(|(k, e)| (*k, *e)));
                     }
