--- a/Makefile
+++ b/Makefile
@@ -28,10 +28,11 @@
 lab: build
 	target/release/foldmux-lab run lab/scenarios/rewire.toml
 
-# The figures in docs/hierarchy.md that come from this machine's clock. Nothing else should run.
+# The figures in docs/hierarchy.md and docs/limits.md that come from this machine's clock. Nothing else should run.
 bench:
 	cargo bench --locked -p foldmux-hierarchy --bench decision
 	cargo bench --locked -p foldmux-hub --bench relay
+	cargo bench --locked -p foldmux-limits --bench limits
 
 # The figures in docs/extproc.md that come from this machine's clock. Nothing else should run.
 bench-extproc: build
--- a/limits/benches/limits.rs
+++ b/limits/benches/limits.rs
@@ -1,9 +1,10 @@
 //! What limits cost: a request's values out of many routes, a place taken and given back, the check of a large file.
 
 use foldmux_limits::check::check;
+use foldmux_limits::explore::{second_run, Setting};
 use foldmux_limits::gate::{place, Gate};
 use foldmux_limits::table::{Draft, Match, Route, Said, Table};
-use foldmux_limits::values::{Concurrency, Layer};
+use foldmux_limits::values::{Concurrency, Effective, Layer};
 use foldmux_limits::Account;
 
 fn main() {
@@ -53,3 +54,15 @@
         assert!(faults.is_empty(), "{}", faults[0]);
     });
 }
+
+/// The search for a second run of a key, with today's values; states a second.
+#[divan::bench(sample_count = 50)]
+fn search(bencher: divan::Bencher) {
+    let account = Account::default();
+    let class = account.class("mix-record").expect("a keyed class");
+    let setting = Setting::new(&account, class, &Effective::today(&account, class));
+    let states = second_run(&setting).states;
+    bencher
+        .counter(divan::counter::ItemsCount::new(states))
+        .bench(|| second_run(divan::black_box(&setting)).states);
+}
