--- a/demo/src/extproc.rs
+++ b/demo/src/extproc.rs
@@ -229,7 +229,7 @@
 }
 
 /// A cache of a cell, in front of the archive: it runs what comes in time, and fails now and then.
-fn cache(cell: u32, archive: Arc<Guarded>, late: Arc<AtomicU64>, seed: u64) -> Source {
+fn cache(cell: u32, archive: Arc<Guarded>, late: Arc<AtomicU64>, seed: u64, slowest: u64) -> Source {
     let serial = AtomicU64::new(0);
     Source::start(move |ask| {
         let chance = draw(seed, &[cell as u64, serial.fetch_add(1, Ordering::SeqCst)]) % 100;
@@ -246,7 +246,7 @@
             return untouched;
         }
         let running = archive.arrive(ask.field("via-token"), cell);
-        thread::sleep(Duration::from_millis(chance % 50));
+        thread::sleep(Duration::from_millis(chance % slowest));
         drop(running);
         match chance {
             // It ran, and its answer is lost in one of several ways.
@@ -272,10 +272,11 @@
     }
 }
 
-/// Plays a run against the program. `folder`: an empty one, for its files.
-pub fn run(program: &Path, folder: &Path, requests: u64, seed: u64) -> Result<Report, String> {
+/// Plays a run against the program. `folder`: an empty one, for its files; `slowest`: the archive's work takes less (ms).
+pub fn run(program: &Path, folder: &Path, requests: u64, seed: u64, slowest: u64) -> Result<Report, String> {
     let (archive, late) = (Guarded::new(WINDOW), Arc::new(AtomicU64::new(0)));
-    let caches: Vec<Source> = (0..2).map(|cell| cache(cell, archive.clone(), late.clone(), seed)).collect();
+    let caches: Vec<Source> =
+        (0..2).map(|cell| cache(cell, archive.clone(), late.clone(), seed, slowest)).collect();
     let places: Vec<SocketAddr> = caches.iter().map(Source::address).collect();
     let instances = [0, 1].map(|n| Instance::start(program, folder, n, &places));
     let [first, second] = instances;
--- a/demo/src/main.rs
+++ b/demo/src/main.rs
@@ -163,7 +163,7 @@
 /// The external processor behind a proxy that cancels at random.
 fn process(program: &Path, folder: &Path) -> Result<bool, String> {
     let began = Instant::now();
-    let report = foldmux_demo::extproc::run(program, folder, 20_000, unix_ms())?;
+    let report = foldmux_demo::extproc::run(program, folder, 20_000, unix_ms(), 50)?;
     println!("{report}\n{:.1} s", began.elapsed().as_secs_f64());
     Ok(report.sound())
 }
