--- a/fronts/extproc/src/keyed.rs
+++ b/fronts/extproc/src/keyed.rs
@@ -249,7 +249,7 @@
         let text = {
             let mut state = lock(&self.keeper.state);
             let ledger = state.ledger.as_mut().ok_or(No::NotLoaded)?;
-            let entry = ledger.hand(unix_ms(), self.key, &self.rule, &self.grant, group);
+            let entry = ledger.hand(unix_ms(), self.key, &self.rule, &self.grant, group, request);
             self.held = Held::Out { attempt, told: false };
             let store = self.keeper.store.as_ref().ok_or(No::NotLoaded)?;
             store.put(&self.key.0, &entry.to_bytes(), Box::new(move |result| drop(told.send(result))));
--- a/repeats/src/ledger.rs
+++ b/repeats/src/ledger.rs
@@ -88,6 +88,8 @@
     pub quiet_at: Millis,
     /// The first attempt that may have run: when it was handed out, and its group.
     pub ran: Option<(Millis, u32)>,
+    /// The request that the last attempt was of: unlike any other's, also at another instance.
+    pub request: Mark,
     /// Where the attempt that is out was sent.
     pub group: u32,
     pub handed: Millis,
@@ -95,14 +97,14 @@
 }
 
 /// Version and length of an entry as it is stored.
-const STORED: u8 = 1;
-pub const STORED_LENGTH: usize = 2 + 8 * 4 + 4 * 2 + 1;
+const STORED: u8 = 2;
+pub const STORED_LENGTH: usize = 2 + 8 * 4 + 4 * 2 + 1 + 16;
 
 impl Entry {
     pub fn to_bytes(&self) -> [u8; STORED_LENGTH] {
         let (ran, first, ran_group) = self.ran.map_or((0, 0, 0), |(at, group)| (2, at, group));
         let mut bytes = [0; STORED_LENGTH];
-        let parts: [&[u8]; 7] = [
+        let parts: [&[u8]; 8] = [
             &[STORED, self.attempt, self.out as u8 | ran],
             &self.quiet_at.to_be_bytes(),
             &first.to_be_bytes(),
@@ -110,6 +112,7 @@
             &self.group.to_be_bytes(),
             &self.handed.to_be_bytes(),
             &self.forget_at.to_be_bytes(),
+            &self.request.0,
         ];
         let mut at = 0;
         for part in parts {
@@ -136,6 +139,7 @@
             group: short(23),
             handed: long(27),
             forget_at: long(35),
+            request: Mark(bytes[43..59].try_into().expect("16 bytes")),
         })
     }
 }
@@ -240,7 +244,7 @@
         let entry = match (self.entries.get(&key), shown) {
             (Some(entry), Some(token)) if token.attempt < entry.attempt => return Err(Refusal::Replayed),
             // Another attempt than the one that is known here: by both.
-            (Some(entry), Some(token)) if !is_of(entry, token, rule) => merged(entry, token, rule)?,
+            (Some(entry), Some(token)) if !is_of(entry, token) => merged(entry, token, rule)?,
             (Some(entry), _) => *entry,
             // Of another instance, or from before a store was lost: by what the token says, which may have run.
             (None, Some(token)) => of_token(token, rule),
@@ -268,14 +272,22 @@
     }
 
     /// The entry of an attempt that is handed out to a group, to be stored before it goes.
-    pub fn hand(&mut self, now: Millis, key: Mark, rule: &Rule, grant: &Grant, group: u32) -> Entry {
+    pub fn hand(
+        &mut self,
+        now: Millis,
+        key: Mark,
+        rule: &Rule,
+        grant: &Grant,
+        group: u32,
+        request: Mark,
+    ) -> Entry {
         let (attempt, ran, expires) = match *grant {
             Grant::Anywhere { attempt, expires, .. } => (attempt, None, expires),
             Grant::Within { attempt, group, first, expires } => (attempt, Some((first, group)), expires),
         };
         let quiet_at = expires.saturating_add(rule.runs_for);
         let forget_at = quiet_at.saturating_add(rule.remember);
-        let entry = Entry { attempt, out: true, quiet_at, ran, group, handed: now, forget_at };
+        let entry = Entry { attempt, out: true, quiet_at, ran, request, group, handed: now, forget_at };
         self.asked.remove(&key);
         self.put(key, entry);
         entry
@@ -296,9 +308,8 @@
 
 /// Whether an entry is of the attempt that a token is of. Guards against two attempts of one number: a caller that got no
 /// answer at one instance asks another, which begins to count anew.
-fn is_of(entry: &Entry, token: &Token, rule: &Rule) -> bool {
-    let quiet_at = token.expires.saturating_add(rule.runs_for);
-    (entry.attempt, entry.group, entry.quiet_at) == (token.attempt, token.group, quiet_at)
+fn is_of(entry: &Entry, token: &Token) -> bool {
+    (entry.attempt, entry.request) == (token.attempt, token.request)
 }
 
 /// What is known here and what a token tells of another attempt: both may have run, and both may be running. Where that
@@ -322,6 +333,7 @@
         out: true,
         quiet_at: token.expires.saturating_add(rule.runs_for),
         ran: Some((token.first, token.group)),
+        request: token.request,
         group: token.group,
         handed: token.first,
         forget_at: token.expires.saturating_add(rule.runs_for).saturating_add(rule.remember),
@@ -342,7 +354,7 @@
     fn go(ledger: &mut Ledger, now: Millis, shown: Option<&Token>) -> Result<Grant, Refusal> {
         let grant = ledger.ask(now, key(1), &RULE, shown)?;
         assert_eq!(ledger.ask(now, key(1), &RULE, shown), Err(Refusal::Deciding));
-        ledger.hand(now, key(1), &RULE, &grant, 7);
+        ledger.hand(now, key(1), &RULE, &grant, 7, key(9));
         Ok(grant)
     }
 
@@ -417,7 +429,7 @@
         assert!(ledger.ask(0, key(2), &RULE, None).is_ok() && ledger.asked() == 1);
         // What is forgotten is told once, for the store.
         let grant = Grant::Anywhere { attempt: 0, first: 0, expires: 200 };
-        ledger.hand(0, key(2), &RULE, &grant, 1);
+        ledger.hand(0, key(2), &RULE, &grant, 1, key(9));
         assert!(ledger.ask(20_000, key(3), &RULE, None).is_ok());
         assert_eq!((ledger.forgotten(), ledger.forgotten()), (vec![key(2)], vec![]));
     }
@@ -425,9 +437,10 @@
     proptest! {
         #[test]
         fn an_entry_comes_back_from_its_bytes_as_it_was(
-            attempt: u8, out: bool, quiet_at: u64, ran: Option<(u64, u32)>, group: u32, handed: u64, forget_at: u64,
+            attempt: u8, out: bool, quiet_at: u64, ran: Option<(u64, u32)>, group: u32, handed: u64, forget_at: u64, mark: [u8; 16],
         ) {
-            let entry = Entry { attempt, out, quiet_at, ran, group, handed, forget_at };
+            let request = Mark(mark);
+            let entry = Entry { attempt, out, quiet_at, ran, request, group, handed, forget_at };
             let bytes = entry.to_bytes();
             prop_assert_eq!(Entry::from_bytes(&bytes), Some(entry));
             prop_assert_eq!(Entry::from_bytes(&bytes[1..]), None);
@@ -511,7 +524,7 @@
                             Grant::Anywhere { attempt, first, expires } => (attempt, 5 + attempt as u32, first, expires),
                             Grant::Within { attempt, group, first, expires } => (attempt, group, first, expires),
                         };
-                        let entry = instances[at].hand(now, key(1), &RULE, &grant, group);
+                        let entry = instances[at].hand(now, key(1), &RULE, &grant, group, key(9));
                         if at == 0 {
                             stored.insert(key(1), entry);
                         }
@@ -549,10 +562,10 @@
                         let at = at as usize;
                         let Ok(grant) = instances[at].ask(now, key(1), &RULE, None) else { continue };
                         let (attempt, group) = match grant {
-                            Grant::Anywhere { attempt, .. } => (attempt, 9 + at as u32),
+                            Grant::Anywhere { attempt, .. } => (attempt, 5 + attempt as u32),
                             Grant::Within { attempt, group, .. } => (attempt, group),
                         };
-                        let entry = instances[at].hand(now, key(1), &RULE, &grant, group);
+                        let entry = instances[at].hand(now, key(1), &RULE, &grant, group, key(8));
                         let ended = if dropped { instances[at].ended(key(1), attempt, End::NeverRan) } else { None };
                         if at == 0 {
                             stored.insert(key(1), ended.unwrap_or(entry));
