Say a bound, an attempt's limits and its report in one place each

- The caches' bound on age and their flags stood in upstream, the DNS front and the external processor: bound_ms and Fetch::flags beside Fetch.
Lent reports by Core::report.
- Whether the limits allow an attempt, and its time-out, stood in the core and in the lab's storm: Gate::attempt and Effective::time_out, so that the lab plays what the core does.
Two mixed draws of chance: fastrand, in Held.
- The lab made its settings anew for each request, and had them twice: kept, and model::usual.
- The store's writer woke five times a second with nothing to do: it sleeps while its file is well.
- Dead: left_until; Waiting::take_over, which was join; a dependency that only tests use.

--- a/core/src/lent.rs
+++ b/core/src/lent.rs
@@ -114,10 +114,7 @@
     /// comes.
     pub fn end(&mut self, outcome: Outcome, last: bool) {
         let Some(Out { target, .. }) = self.out.take() else { return };
-        self.core.tally.attempt(outcome);
-        let (id, attempt, note) = (self.slot.id, target.attempt, Note::Untold);
-        let elapsed = target.decided.elapsed().as_micros() as Time;
-        self.core.desk.tell(Notice::Outcome(Report { id, attempt, outcome, note, elapsed, last }));
+        self.core.report(self.slot.id, &target, outcome, last);
     }
 }
 
--- a/core/src/limits.rs
+++ b/core/src/limits.rs
@@ -155,20 +155,15 @@
         arrived + Duration::from_millis(self.resolved.values.deadline_ms)
     }
 
-    /// The module wants an attempt: whether the limits allow it, and after which pause. `draw`: from 0 to 1.
-    pub fn attempt(&mut self, draw: f64) -> Allowed {
-        let number = self.attempts;
+    /// The module wants an attempt: whether the limits allow it, and after which pause.
+    pub fn attempt(&mut self) -> Allowed {
         let values = &self.resolved.values;
-        let mut state = self.limiter.state();
-        if number == 0 {
-            state.gate.first(&self.at);
-        } else if number >= values.attempts || !state.gate.again(&self.at) {
-            return Allowed::No;
-        }
-        self.attempts += 1;
-        match values.pause_ms(number, draw) {
-            0 => Allowed::Now,
-            pause => Allowed::After(Duration::from_millis(pause)),
+        let pause = self.limiter.state().gate.attempt(&self.at, values, self.attempts, fastrand::f64());
+        self.attempts += pause.is_some() as u64;
+        match pause {
+            None => Allowed::No,
+            Some(0) => Allowed::Now,
+            Some(pause) => Allowed::After(Duration::from_millis(pause)),
         }
     }
 
@@ -187,10 +182,7 @@
     /// What the module chose, within the limits.
     pub fn narrow(&self, fetch: &mut Fetch) {
         let values = &self.resolved.values;
-        let attempt = values.attempt_ms.saturating_mul(1_000);
-        if attempt > 0 && (fetch.time_out == 0 || fetch.time_out > attempt) {
-            fetch.time_out = attempt;
-        }
+        fetch.time_out = values.time_out(fetch.time_out);
         fetch.keep = fetch.keep.min(values.keep.min(3) as u8);
         if self.resolved.from.get("stale_ms").is_some_and(|at| at != "today") {
             fetch.renew &= values.stale_ms > 0;
@@ -346,7 +338,7 @@
         };
         old.narrow(&mut fetch);
         assert_eq!((fetch.time_out, fetch.keep, fetch.renew), (200_000, 1, true));
-        assert_eq!([0, 1, 2].map(|_| old.attempt(0.0)), [Allowed::Now, Allowed::Now, Allowed::No]);
+        assert_eq!([0, 1, 2].map(|_| old.attempt()), [Allowed::Now, Allowed::Now, Allowed::No]);
         drop(old);
         assert_eq!(limiter.sizes(), [0, 0]);
     }
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -343,7 +343,7 @@
     let (end, answer) = loop {
         match orders.recv_deadline(deadline + span(UNORDERED)) {
             Ok(Order::Fetch(mut fetch, target)) => {
-                let allowed = limits.as_mut().is_none_or(|held| allow(held, &inquiry, slot, deadline));
+                let allowed = limits.as_mut().is_none_or(|held| allow(held, slot, deadline));
                 let fill = limits.as_ref().map(|held| held.fill(&fetch));
                 if !allowed || matches!(fill, Some(None)) {
                     // The limits end it here: the module hears that nothing was sent, and no more is asked of it.
@@ -399,11 +399,8 @@
 }
 
 /// Whether the attempt that the module wants is made, after the pause that the limits want before it.
-fn allow(held: &mut Held, inquiry: &Inquiry, slot: &Slot, deadline: Instant) -> bool {
-    // Chance enough: clients' ids and the clock.
-    let mixed =
-        (inquiry.via ^ inquiry.arrived.elapsed().as_nanos() as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    match held.attempt((mixed >> 11) as f64 / (1u64 << 53) as f64) {
+fn allow(held: &mut Held, slot: &Slot, deadline: Instant) -> bool {
+    match held.attempt() {
         Allowed::Now => true,
         Allowed::No => false,
         Allowed::After(pause) => {
--- a/fronts/extproc/src/answers.rs
+++ b/fronts/extproc/src/answers.rs
@@ -3,7 +3,7 @@
 
 use crate::names;
 use crate::pb::*;
-use foldmux::interface::Time;
+use foldmux::interface::{bound_ms, Time};
 use foldmux_core::lent::Way;
 use std::collections::HashMap;
 
@@ -125,11 +125,6 @@
     }
 }
 
-/// Rounded down, as a copy must not be older than the module said; but 0 would mean no bound at all.
-fn age_ms(age: Time) -> Option<Time> {
-    (age > 0).then(|| (age / 1000).max(1))
-}
-
 /// Where the request goes: as fields for the caches and the caller's cluster, and as dynamic metadata.
 pub fn placed(placement: &Placement) -> ProcessingResponse {
     let Placement { way, token, via, wait_ms, key, good_until, path } = placement;
@@ -144,11 +139,9 @@
     told.extend(key.map(|key| (names::VIA_TOKEN, key.to_string())));
     told.extend(way.source.as_ref().map(|source| (names::FILL_FROM, source.name.to_string())));
     told.extend((fetch.keep > 0).then(|| (names::KEEP, fetch.keep.to_string())));
-    told.extend(age_ms(fetch.max_age).map(|age| (names::MAX_AGE, age.to_string())));
-    told.extend(age_ms(fetch.time_out).map(|time| (names::TIME_OUT, time.to_string())));
-    let flags = [(fetch.join, "coalesce"), (fetch.hold_only, "shallow"), (fetch.renew, "freshen")];
-    let flags: Vec<&str> = flags.iter().filter(|f| f.0).map(|f| f.1).collect();
-    told.extend((!flags.is_empty()).then(|| (names::FLAGS, flags.join("+"))));
+    told.extend(bound_ms(fetch.max_age).map(|age| (names::MAX_AGE, age.to_string())));
+    told.extend(bound_ms(fetch.time_out).map(|time| (names::TIME_OUT, time.to_string())));
+    told.extend(Some(fetch.flags()).filter(|flags| !flags.is_empty()).map(|flags| (names::FLAGS, flags)));
     let remove: Vec<&str> =
         names::OURS.into_iter().filter(|name| !told.iter().any(|(n, _)| n == name)).collect();
     let mut metadata: HashMap<String, Value> = told
--- a/fronts/extproc/src/life.rs
+++ b/fronts/extproc/src/life.rs
@@ -400,13 +400,7 @@
     /// Whether the limits allow the attempt, after the pause that they want before it.
     async fn allow(&self, attempt: &mut Attempt, until: Instant, ran: Ran) -> Result<(), Final> {
         let Some(held) = &mut attempt.limits else { return Ok(()) };
-        // Chance enough: the serial number and the clock.
-        let clock = std::time::SystemTime::now()
-            .duration_since(std::time::UNIX_EPOCH)
-            .map_or(0, |d| d.as_nanos() as u64);
-        let mixed = self.serial.load(Ordering::Relaxed) ^ clock ^ self.salt;
-        let draw = (mixed.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 11) as f64 / (1u64 << 53) as f64;
-        match held.attempt(draw) {
+        match held.attempt() {
             Allowed::Now => return Ok(()),
             Allowed::After(pause) if Instant::now() + pause < until => {
                 sleep(pause).await;
--- a/fronts/extproc/src/serve.rs
+++ b/fronts/extproc/src/serve.rs
@@ -21,7 +21,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::{Builder, Runtime};
@@ -394,11 +394,6 @@
     }
 }
 
-/// So long a stream is given to end in its order, measured from when this is asked.
-pub fn left_until(end: Instant) -> Duration {
-    end.saturating_duration_since(Instant::now())
-}
-
 /// Runs a future to its end on a small runtime of this thread, as the commands of the program do.
 pub fn block_on<T>(future: impl Future<Output = T>) -> Result<T, String> {
     let runtime =
--- a/fronts/src/dns/mod.rs
+++ b/fronts/src/dns/mod.rs
@@ -5,7 +5,7 @@
 pub mod notify;
 pub mod server;
 
-use foldmux::interface::{State, Time};
+use foldmux::interface::{bound_ms, State, Time};
 use foldmux_core::lent::{place, Placed};
 use foldmux_core::{Core, Inquiry};
 use hickory_proto::op::{Edns, Header, Message, MessageType, OpCode, Query, ResponseCode};
@@ -173,9 +173,7 @@
                     let mut words = vec![format!("cache={}", cache.name)];
                     words.extend(source.iter().map(|s| format!("source={}", s.name)));
                     words.push(format!("keep={}", fetch.keep));
-                    if fetch.max_age > 0 {
-                        words.push(format!("max-age-ms={}", (fetch.max_age / 1000).max(1)));
-                    }
+                    words.extend(bound_ms(fetch.max_age).map(|age| format!("max-age-ms={age}")));
                     if fetch.hold_only {
                         words.push("flags=shallow".to_string());
                     }
--- a/lab/src/model.rs
+++ b/lab/src/model.rs
@@ -284,26 +284,15 @@
     Tree::check(&Draft { epoch, nodes, ..Draft::default() }).expect("the lab's trees are sound")
 }
 
-fn settings(s: &Scenario, edge: usize) -> Settings {
-    let kept = |worth, aim| Class {
-        aim,
-        aim_stretch: 2.0,
-        deadline: DEADLINE,
-        worth,
-        late_worth: 0.1,
-        repeat: Repeat::Safe,
-        repeat_window: 0,
-        fresh: 0,
-        pass_on: false,
-    };
-    let zones = s.hubs + s.edges;
+/// What all days have in common: the settings of our first installation, with nobody in them.
+pub fn usual() -> Settings {
     Settings {
-        index: edge as u32,
-        routers: s.edges as u32,
-        zone: s.hubs + edge,
-        classes: vec![kept(2.0, 500_000), kept(1.0, 250_000)],
-        routers_by_zone: (0..zones).map(|z| (z >= s.hubs) as u32).collect(),
-        hub_of: (0..zones).map(|z| if z < s.hubs { z } else { (z - s.hubs) % s.hubs }).collect(),
+        index: 0,
+        routers: 1,
+        zone: 0,
+        classes: Vec::new(),
+        routers_by_zone: Vec::new(),
+        hub_of: Vec::new(),
         parent_kind: Some(HUB),
         origin_kind: ARCHIVE,
         siblings: Siblings::Any,
@@ -334,6 +323,30 @@
     }
 }
 
+fn settings(s: &Scenario, edge: usize) -> Settings {
+    let kept = |worth, aim| Class {
+        aim,
+        aim_stretch: 2.0,
+        deadline: DEADLINE,
+        worth,
+        late_worth: 0.1,
+        repeat: Repeat::Safe,
+        repeat_window: 0,
+        fresh: 0,
+        pass_on: false,
+    };
+    let zones = s.hubs + s.edges;
+    Settings {
+        index: edge as u32,
+        routers: s.edges as u32,
+        zone: s.hubs + edge,
+        classes: vec![kept(2.0, 500_000), kept(1.0, 250_000)],
+        routers_by_zone: (0..zones).map(|z| (z >= s.hubs) as u32).collect(),
+        hub_of: (0..zones).map(|z| if z < s.hubs { z } else { (z - s.hubs) % s.hubs }).collect(),
+        ..usual()
+    }
+}
+
 impl<'a> Day<'a> {
     pub fn new(s: &'a Scenario) -> Day<'a> {
         let mut rng = StdRng::seed_from_u64(s.seed);
--- a/lab/src/storm.rs
+++ b/lab/src/storm.rs
@@ -1,6 +1,7 @@
 //! A storm: part of the boxes fail for a while, under clients that come back. The real module and the real limits decide;
 //! the day is played once as today's build would, and once with the limits of a file.
 
+use crate::model::usual;
 use foldmux::interface::{Report as Told, *};
 use foldmux::Router;
 use foldmux_limits::gate::{place, Admitted, Gate, Place};
@@ -142,6 +143,7 @@
     events: BinaryHeap<Reverse<(Time, u64)>>,
     bodies: HashMap<u64, Event>,
     next: u64,
+    classes: Vec<Class>,
     router: Router,
     gate: Option<(Gate, Table)>,
     open: HashMap<u64, Open>,
@@ -204,37 +206,19 @@
         hub_of: vec![0, 0],
         parent_kind: Some(1),
         origin_kind: 2,
-        siblings: Siblings::Any,
-        notes: Notes::None,
-        can_join: false,
         direct: false,
         client_kb_per_s: 4_200.0,
-        weights_told: false,
-        must_ask: false,
-        may_cancel: true,
-        may_duplicate: false,
         max_attempts: account.max_attempts as u32,
-        may_probe: false,
-        may_tell_peers: false,
         retry_after: account.max_wait_ms.map(|ms| ms * 1_000),
         answer_slack: account.answer_slack_ms * 1_000,
-        drain_grace: 250_000,
-        cache_cold_from: 0.17,
-        cache_cold_for: 18_000_000,
-        cache_fall_multiple: 4.0,
-        fall_window: 3_000_000,
-        parent_cold_from: 0.067,
-        parent_cold_for: 21_000_000,
-        parent_fall_multiple: 2.0,
         purge_slack: account.purge_slack_ms * 1_000,
-        purge_done: 6_000_000,
-        origin_fall_multiple: 0.0,
+        ..usual()
     }
 }
 
 impl<'a> World<'a> {
     fn new(s: &'a Storm, table: Option<Table>) -> World<'a> {
-        let spread: f64 = 0.3;
+        let (spread, settings): (f64, Settings) = (0.3, settings());
         let seconds = s.seconds as usize + 10;
         World {
             s,
@@ -242,7 +226,8 @@
             events: BinaryHeap::new(),
             bodies: HashMap::new(),
             next: 0,
-            router: Router::new(settings(), s.seed),
+            classes: settings.classes.clone(),
+            router: Router::new(settings, s.seed),
             gate: table.map(|table| (Gate::new(&table), table)),
             open: HashMap::new(),
             slots: vec![vec![0.0; s.slots]; s.boxes],
@@ -339,7 +324,7 @@
 
     fn arrival(&mut self, at: f64, class: usize) {
         self.serial += 1;
-        let (key, budget) = (self.serial, settings().classes[class].deadline);
+        let (key, budget) = (self.serial, self.classes[class].deadline);
         self.after(at * SECOND, Event::Arrive { class, tries: 0, budget, key });
     }
 
@@ -379,7 +364,7 @@
         if tries == 0 {
             self.day.requests += 1;
             let second = self.second(self.now);
-            self.wanted[second] += settings().classes[class].worth;
+            self.wanted[second] += self.classes[class].worth;
             self.records.0 += (class == 2) as u64;
         }
         limits.iter().for_each(|(_, r)| budget = budget.min(r.values.deadline_ms * 1_000));
@@ -441,32 +426,22 @@
         }
     }
 
-    /// The module wants an attempt: by the limits, as the core does it.
+    /// The module wants an attempt: by the limits that the core goes by.
     fn fetch(&mut self, mut fetch: Fetch) {
         let id = fetch.id.0;
         let draw = self.rng.random_range(0.0..1.0);
         let Some(open) = self.open.get_mut(&id) else { return };
         let attempt = open.attempts as u8;
-        let mut pause = 0;
-        let mut allowed = true;
+        let mut pause = Some(0);
         if let (Some((gate, _)), Some((at, resolved))) = (&mut self.gate, &open.limits) {
-            let values = &resolved.values;
-            if attempt == 0 {
-                gate.first(at);
-            } else {
-                allowed = open.attempts < values.attempts && gate.again(at);
-            }
-            pause = values.pause_ms(open.attempts, draw) * 1_000;
-            let time_out = values.attempt_ms * 1_000;
-            if time_out > 0 && (fetch.time_out == 0 || fetch.time_out > time_out) {
-                fetch.time_out = time_out;
-            }
+            pause = gate.attempt(at, &resolved.values, open.attempts, draw).map(|ms| ms * 1_000);
+            fetch.time_out = resolved.values.time_out(fetch.time_out);
         }
         open.attempts += 1;
-        if !allowed || self.now + pause >= open.deadline {
-            return self.limited(id, attempt);
+        match pause.filter(|pause| self.now + pause < open.deadline) {
+            Some(pause) => self.after(pause as f64, Event::Send { id, fetch, attempt }),
+            None => self.limited(id, attempt),
         }
-        self.after(pause as f64, Event::Send { id, fetch, attempt });
     }
 
     /// The limits end it: nothing is sent, and the final answer is given at once.
@@ -586,7 +561,7 @@
     fn answer(&mut self, id: u64, served: bool, wait: Option<Time>) {
         if served {
             if let Some(open) = self.open.get(&id) {
-                let class = &settings().classes[open.class];
+                let class = &self.classes[open.class];
                 // In time by the client's first try.
                 let began = open.deadline.saturating_sub(class.deadline).max(START).min(open.arrived);
                 let took = self.now - began;
--- a/limits/src/gate.rs
+++ b/limits/src/gate.rs
@@ -4,7 +4,7 @@
 use crate::adaptive::Adaptive;
 use crate::bucket::Buckets;
 use crate::table::{Resolved, Table};
-use crate::values::Concurrency;
+use crate::values::{Concurrency, Effective};
 use crate::wait::Waiting;
 use crate::Time;
 use std::collections::{BTreeMap, HashMap};
@@ -84,7 +84,7 @@
                     gone.extend(
                         waiting
                             .into_iter()
-                            .filter(|(id, since)| !lane.waiting.take_over(*id, *since))
+                            .filter(|(id, since)| !lane.waiting.join(*since, *id))
                             .map(|w| w.0),
                     );
                     while lane.room() {
@@ -160,6 +160,17 @@
         }
     }
 
+    /// An attempt is wanted, numbered from 0: after which pause it may be made (ms), or none where it may not.
+    /// `draw`: from 0 to 1.
+    pub fn attempt(&mut self, at: &Place, values: &Effective, number: u64, draw: f64) -> Option<u64> {
+        if number == 0 {
+            self.first(at);
+        } else if number >= values.attempts || !self.again(at) {
+            return None;
+        }
+        Some(values.pause_ms(number, draw))
+    }
+
     /// How an attempt ended, for limits that adapt.
     pub fn heard(&mut self, at: &Place, elapsed: Time, served: bool) {
         if let Some(lane) = self.lanes.get_mut(at) {
--- a/limits/src/values.rs
+++ b/limits/src/values.rs
@@ -160,6 +160,15 @@
         (whole * (1.0 - self.jitter_percent / 100.0 * draw.clamp(0.0, 1.0))) as u64
     }
 
+    /// How long an attempt may take (us), where the module wants it to take so long; 0: until the deadline.
+    pub fn time_out(&self, wanted: u64) -> u64 {
+        let own = self.attempt_ms.saturating_mul(1_000);
+        match (own, wanted) {
+            (0, time) | (time, 0) => time,
+            (own, wanted) => own.min(wanted),
+        }
+    }
+
     /// The field as text, as it is shown and compared.
     pub fn text(&self, field: &str) -> String {
         let optional = |text: &Option<String>| text.clone().unwrap_or_else(|| "none".to_string());
--- a/limits/src/wait.rs
+++ b/limits/src/wait.rs
@@ -27,12 +27,12 @@
         self.line.is_empty()
     }
 
-    /// One more; false where there is no room.
-    pub fn join(&mut self, now: Time, id: u64) -> bool {
+    /// One more, that waits since then; false where there is no room.
+    pub fn join(&mut self, since: Time, id: u64) -> bool {
         if self.line.len() >= self.most {
             return false;
         }
-        self.line.push_back((id, now));
+        self.line.push_back((id, since));
         true
     }
 
@@ -68,11 +68,6 @@
         self.line.drain(..).collect()
     }
 
-    /// One that waited before, in another line; false where there is no room.
-    pub fn take_over(&mut self, id: u64, since: Time) -> bool {
-        self.join(since, id)
-    }
-
     /// One that does not wait any more.
     pub fn leave(&mut self, id: u64) {
         self.line.retain(|(own, _)| *own != id);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -314,3 +314,17 @@
     /// Serve an ageing copy and fetch it anew behind.
     pub renew: bool,
 }
+
+/// A bound as the caches and callers are told it (ms): rounded down, as a copy must not be older than the module said;
+/// but 0 would mean no bound at all.
+pub fn bound_ms(time: Time) -> Option<Time> {
+    (time > 0).then(|| (time / 1000).max(1))
+}
+
+impl Fetch {
+    /// What the caches are told beside the source, the rank and the age, in their words; none: an empty text.
+    pub fn flags(&self) -> String {
+        let flags = [(self.join, "coalesce"), (self.hold_only, "shallow"), (self.renew, "freshen")];
+        flags.iter().filter(|f| f.0).map(|f| f.1).collect::<Vec<_>>().join("+")
+    }
+}
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -287,11 +287,15 @@
     fn run(mut self) {
         let most = if self.commit == Commit::Each { 1 } else { GROUP };
         loop {
-            let first = match (&self.database, self.jobs.recv_timeout(PAUSE)) {
-                (_, Ok(job)) => Some(job),
-                (_, Err(RecvTimeoutError::Disconnected)) => return,
-                (Ok(_), Err(RecvTimeoutError::Timeout)) => continue,
-                (Err(_), Err(RecvTimeoutError::Timeout)) => None,
+            let heard = match &self.database {
+                Ok(_) => self.jobs.recv().map_err(|_| RecvTimeoutError::Disconnected),
+                // Opened again now and then, also where nobody writes.
+                Err(_) => self.jobs.recv_timeout(PAUSE),
+            };
+            let first = match heard {
+                Ok(job) => Some(job),
+                Err(RecvTimeoutError::Timeout) => None,
+                Err(RecvTimeoutError::Disconnected) => return,
             };
             if self.database.is_err() {
                 self.reopen();
--- a/upstream/src/lib.rs
+++ b/upstream/src/lib.rs
@@ -5,7 +5,7 @@
 
 pub mod pool;
 
-use foldmux::interface::{Outcome, Time};
+use foldmux::interface::{bound_ms, Outcome};
 use foldmux_core::attempt::{Attempt, Got, Line, Tries};
 use foldmux_core::clock::{span, Clock};
 use foldmux_core::members::Members;
@@ -116,11 +116,10 @@
         if fetch.keep > 0 {
             field("X-Keep", &fetch.keep);
         }
-        max_age_ms(fetch.max_age).iter().for_each(|age| field("X-Max-Age-Ms", age));
-        let flags = [(fetch.join, "coalesce"), (fetch.hold_only, "shallow"), (fetch.renew, "freshen")];
-        let flags: Vec<&str> = flags.iter().filter(|f| f.0).map(|f| f.1).collect();
+        bound_ms(fetch.max_age).iter().for_each(|age| field("X-Max-Age-Ms", age));
+        let flags = fetch.flags();
         if !flags.is_empty() {
-            field("X-Flags", &flags.join("+"));
+            field("X-Flags", &flags);
         }
         inquiry.got.iter().for_each(|got| field("If-None-Match", got));
         if let Some((_, length)) = inquiry.body {
@@ -131,11 +130,6 @@
     }
 }
 
-/// Rounded down, as a copy must not be older than the module said; but 0 would mean no bound at all.
-fn max_age_ms(age: Time) -> Option<Time> {
-    (age > 0).then(|| (age / 1000).max(1))
-}
-
 /// What a dial that failed proves: nothing came up at the other side. Where it was this program that had no
 /// descriptor or port left, that says nothing of the cache.
 fn dial_outcome(error: std::io::Error) -> Outcome {
@@ -189,7 +183,7 @@
 
     #[test]
     fn a_bound_on_age_rounds_down_but_never_to_no_bound() {
-        let rounded = [0, 1, 999, 1_000, 1_999, 2_500_000].map(max_age_ms);
+        let rounded = [0, 1, 999, 1_000, 1_999, 2_500_000].map(bound_ms);
         assert_eq!(rounded, [None, Some(1), Some(1), Some(1), Some(1), Some(2_500)]);
     }
 }
