Share the client port by SO_REUSEPORT; add the operator line with status, stats, maint

Change: the client listener is made by socket2 with SO_REUSEPORT and an accept that wakes every 100 ms; on SIGTERM it takes connections for 0.4 s, then what is queued, then closes. Connections with nothing open end at once on leaving, the others with their last answer. Counters by class are counted where a request ends and where an attempt is written (core/src/tally.rs).

--- a/core/src/members.rs
+++ b/core/src/members.rs
@@ -44,6 +44,12 @@
 
     /// Whether new work may still go to this start of the member, or name it as a source.
     /// Guards against a drain, an end or a restart that was told of while an attempt was dialling.
+    /// How many are listed, and how many of them are not ready.
+    pub fn census(&self) -> (usize, usize) {
+        let members = self.by_id.read().unwrap_or_else(PoisonError::into_inner);
+        (members.len(), members.values().filter(|m| m.member.state != State::Ready).count())
+    }
+
     pub fn allows(&self, cache: CacheId, start: Start) -> bool {
         let members = self.by_id.read().unwrap_or_else(PoisonError::into_inner);
         members.get(&cache).is_some_and(|m| m.member.state == State::Ready && m.start() == start)
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -214,7 +214,7 @@
     pub fn start(self: &Arc<Core>, inquiry: Inquiry, slot: Arc<Slot>, reply: Box<dyn Reply>) {
         // Guards against a request under the id of an open one: a cache would take them for one request.
         let Some(claim) = Claim::on(self, inquiry.via) else {
-            self.tally.end(End::Failed);
+            self.tally.end(Some(&inquiry.class_name), End::Failed);
             return reply.answer(Answer::Failed);
         };
         let job = Job { _claim: claim, inquiry, slot, reply };
@@ -230,7 +230,7 @@
         };
         if let Some(job) = refused {
             self.open.fetch_sub(1, Ordering::SeqCst);
-            self.shed(job.reply);
+            self.shed(&job.inquiry.class_name, job.reply);
         }
     }
 
@@ -239,8 +239,8 @@
     }
 
     /// Refuses what the program has no room for, before the module hears of it.
-    fn shed(&self, reply: Box<dyn Reply>) {
-        self.tally.end(End::Shed);
+    fn shed(&self, class: &Arc<str>, reply: Box<dyn Reply>) {
+        self.tally.end(Some(class), End::Shed);
         reply.answer(Answer::Shed { wait: self.shed_wait });
     }
 
@@ -325,13 +325,13 @@
 /// The one place where a request lives: admitted, asked, attempted, reported, repeated, answered.
 fn serve(core: &Core, inquiry: Inquiry, slot: &Arc<Slot>, reply: Box<dyn Reply>) {
     let Some(mut bytes) = core.buffers.lease() else {
-        return core.shed(reply);
+        return core.shed(&inquiry.class_name, reply);
     };
     let mut deadline = inquiry.arrived + span(inquiry.budget);
     let mut limits = match admit(core, &inquiry, deadline) {
         Ok(limits) => limits,
         Err(wait) => {
-            core.tally.end(End::Shed);
+            core.tally.end(Some(&inquiry.class_name), End::Shed);
             return reply.answer(Answer::Shed { wait });
         }
     };
@@ -354,6 +354,7 @@
                 let began = Instant::now();
                 let attempt = Attempt { inquiry: &inquiry, slot, fetch: &fetch, target: &target, deadline };
                 let (outcome, got) = core.upstream.attempt(&attempt, &mut bytes);
+                core.tally.sent(&inquiry.class_name, outcome);
                 drop(fill);
                 limits.iter_mut().for_each(|held| held.heard(began, got.is_some(), outcome.never_ran()));
                 let last = got.is_some() || slot.left();
@@ -372,7 +373,7 @@
             Ok(Order::Fail) | Err(_) => break (End::Failed, Answer::Failed),
         }
     };
-    core.tally.end(end);
+    core.tally.end(Some(&inquiry.class_name), end);
     reply.answer(answer);
 }
 
--- a/core/src/tally.rs
+++ b/core/src/tally.rs
@@ -2,6 +2,10 @@
 
 use foldmux::interface::Outcome;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+
+/// Classes counted by name: those of all settings taken since the start, which a reload adds to.
+const CLASSES: usize = 256;
 
 /// What is counted. The outcomes of attempts come first, in the order in which the module knows them.
 const NAMES: [&str; 15] = [
@@ -36,16 +40,60 @@
     Unusable,
 }
 
+/// For each class by name since the start: answered, deferred, errored, and attempts written whole.
+pub type ClassCounts = (Arc<str>, [u64; 4]);
+
 #[derive(Default)]
-pub struct Tally([AtomicU64; NAMES.len()]);
+pub struct Tally([AtomicU64; NAMES.len()], Mutex<Vec<ClassCounts>>);
 
 impl Tally {
     pub fn attempt(&self, outcome: Outcome) {
         self.0[outcome as usize].fetch_add(1, Ordering::Relaxed);
     }
 
-    pub fn end(&self, end: End) {
+    /// How a request of `class` ended, counted for the log and for the operator's figures.
+    pub fn end(&self, class: Option<&Arc<str>>, end: End) {
         self.0[end as usize].fetch_add(1, Ordering::Relaxed);
+        let kind = match end {
+            End::Served | End::Same => 0,
+            End::Refused | End::Shed => 1,
+            End::Failed | End::Unusable => 2,
+        };
+        class.into_iter().for_each(|class| self.count(class, kind));
+    }
+
+    /// An attempt of `class` that was written whole to a pop cache.
+    pub fn sent(&self, class: &Arc<str>, outcome: Outcome) {
+        if !matches!(outcome, Outcome::ConnectFailed | Outcome::NeverSent | Outcome::Cancelled) {
+            self.count(class, 3);
+        }
+    }
+
+    fn count(&self, class: &Arc<str>, kind: usize) {
+        let mut classes = self.1.lock().unwrap_or_else(PoisonError::into_inner);
+        let place = classes.iter().position(|(name, _)| **name == **class);
+        match place {
+            Some(place) => classes[place].1[kind] += 1,
+            None if classes.len() < CLASSES => {
+                let mut counts = [0; 4];
+                counts[kind] = 1;
+                classes.push((class.clone(), counts));
+            }
+            None => {}
+        }
+    }
+
+    /// Makes sure that a class is shown, at 0 where nothing of it has ended yet.
+    pub fn know(&self, class: &Arc<str>) {
+        let mut classes = self.1.lock().unwrap_or_else(PoisonError::into_inner);
+        if classes.len() < CLASSES && !classes.iter().any(|(name, _)| **name == **class) {
+            classes.push((class.clone(), [0; 4]));
+        }
+    }
+
+    /// The counts by class since the start.
+    pub fn classes(&self) -> Vec<ClassCounts> {
+        self.1.lock().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// One line with what has been counted since the last, or none.
@@ -65,10 +113,14 @@
         let tally = Tally::default();
         tally.attempt(Outcome::Served);
         tally.attempt(Outcome::Miss);
-        tally.end(End::Served);
-        tally.end(End::Failed);
-        tally.end(End::Failed);
+        let class: Arc<str> = "mix-video".into();
+        tally.end(Some(&class), End::Served);
+        tally.end(Some(&class), End::Failed);
+        tally.end(None, End::Failed);
+        tally.sent(&class, Outcome::Served);
+        tally.sent(&class, Outcome::NeverSent);
         assert_eq!(tally.line().unwrap(), "ok 1, miss 1, served 1, failed 2");
         assert_eq!(tally.line(), None);
+        assert_eq!(tally.classes(), vec![(class, [1, 0, 1, 1])]);
     }
 }
--- a/fronts/extproc/src/life.rs
+++ b/fronts/extproc/src/life.rs
@@ -171,7 +171,7 @@
             _ => (&self.counts.refused, End::Refused),
         };
         self.count(count);
-        self.core.tally.end(end);
+        self.core.tally.end(None, end);
         last.answer(&self.name)
     }
 
@@ -619,7 +619,7 @@
 
 fn served(front: &Front, attempt: &mut Attempt) {
     attempt.end(Ended { outcome: Outcome::Served, over: true }, true);
-    front.core.tally.end(End::Served);
+    front.core.tally.end(None, End::Served);
 }
 
 /// A span of the module's from one of the operator's.
--- a/fronts/src/msgpack/mod.rs
+++ b/fronts/src/msgpack/mod.rs
@@ -84,6 +84,10 @@
                     return connection.end_when_answered();
                 }
                 Err(Unread::Over) if reader.get_ref().late => return connection.end_when_answered(),
+                // Leaving, the process reads no more: what was asked is answered, then the connection ends.
+                Err(Unread::Over) if self.leaving.load(Ordering::SeqCst) => {
+                    return connection.end_when_answered()
+                }
                 Err(Unread::Over) => break,
             }
         }
@@ -93,7 +97,7 @@
     }
 
     fn unusable(&self, connection: &Connection, id: u32, why: &'static str) {
-        self.core.tally.end(End::Unusable);
+        self.core.tally.end(None, End::Unusable);
         connection.write_error(id, "Fault", Some(why));
     }
 
@@ -134,7 +138,7 @@
         match connection.open(id, &slot, most) {
             Opened::Yes => {}
             Opened::Full => {
-                self.core.tally.end(End::Shed);
+                self.core.tally.end(Some(&taken.name), End::Shed);
                 return connection.write(&codec::shed(id, self.core.shed_wait), deadline + SLOW);
             }
             Opened::Ending => return,
--- a/fronts/src/places.rs
+++ b/fronts/src/places.rs
@@ -21,6 +21,8 @@
 struct State {
     taken: BTreeMap<u64, Taken>,
     next: u64,
+    /// The process leaves: a connection ends as soon as nothing is open on it.
+    leaving: bool,
 }
 
 struct Taken {
@@ -77,6 +79,19 @@
     }
 }
 
+impl Places {
+    /// The process leaves: connections with nothing open end now, the others with their last answer. A client
+    /// whose request crosses such a close sends it again on a new connection, to whoever listens then.
+    pub fn leave(&self) {
+        let mut state = self.state();
+        state.leaving = true;
+        for taken in state.taken.values_mut().filter(|t| t.idle.is_some() && t.asked && !t.ending) {
+            taken.ending = true;
+            let _ = taken.stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
 impl Place {
     /// Something is open on the connection now; false if it has been told to make way.
     pub fn busy(&self) -> bool {
@@ -93,8 +108,14 @@
 
     /// Nothing is open on it any more.
     pub fn idle(&self) {
-        if let Some(taken) = self.places.state().taken.get_mut(&self.number) {
+        let mut state = self.places.state();
+        let leaving = state.leaving;
+        if let Some(taken) = state.taken.get_mut(&self.number) {
             taken.idle = Some(Instant::now());
+            if leaving && !taken.ending {
+                taken.ending = true;
+                let _ = taken.stream.shutdown(Shutdown::Both);
+            }
         }
     }
 }
--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -15,6 +15,8 @@
     seed: String,
     limits: Limits,
     journal: Option<SocketAddr>,
+    /// The operator line's address.
+    operator: Option<SocketAddr>,
     #[serde(default)]
     known: Feed,
     settings: Facts,
@@ -60,6 +62,8 @@
     pub listen: SocketAddr,
     pub seed: u64,
     pub journal: Option<SocketAddr>,
+    /// The operator line's address, where there is one (`operator`, or `$GW_OPERATOR`).
+    pub operator: Option<SocketAddr>,
     pub known: Feed,
     pub bounds: Bounds,
     /// The limits that the bounds follow from: descriptors, and memory (MB).
@@ -74,6 +78,10 @@
     if let Ok(listen) = std::env::var("GW_LISTEN") {
         config.listen = listen.parse().map_err(|_| format!("GW_LISTEN {listen:?} is no address"))?;
     }
+    if let Ok(operator) = std::env::var("GW_OPERATOR") {
+        let address = operator.parse().map_err(|_| format!("GW_OPERATOR {operator:?} is no address"))?;
+        config.operator = Some(address);
+    }
     if let Ok(name) = std::env::var("GW_NAME") {
         config.name = name;
     }
@@ -98,6 +106,7 @@
         listen: document.listen,
         seed,
         journal: document.journal,
+        operator: document.operator,
         known: document.known,
         bounds: Bounds::new(&document.limits),
         limits: [document.limits.sockets as u64, document.limits.memory_mb as u64],
--- a/proxy/src/journal.rs
+++ b/proxy/src/journal.rs
@@ -82,6 +82,8 @@
     pub pool: Arc<Pool>,
     /// Set once a list is in: the proxy is well.
     pub listed: Arc<AtomicBool>,
+    /// Where lists go by, for those out by hand; else straight to the desk.
+    pub hand: Option<Arc<crate::line::Hand>>,
     pos: u64,
 }
 
@@ -93,7 +95,7 @@
         pool: Arc<Pool>,
         listed: Arc<AtomicBool>,
     ) -> Journal {
-        Journal { names, clock, desk, pool, listed, pos: 0 }
+        Journal { names, clock, desk, pool, listed, hand: None, pos: 0 }
     }
 
     /// Takes the events that follow on those already taken. Guards against gaps: where one is missing, nothing
@@ -107,7 +109,12 @@
                 return false;
             }
             self.pos = entry.pos;
-            self.notices(entry).into_iter().for_each(|notice| self.desk.tell(notice));
+            for notice in self.notices(entry) {
+                match (notice, &self.hand) {
+                    (Notice::Members { full, listed }, Some(hand)) => hand.members(full, listed),
+                    (notice, _) => self.desk.tell(notice),
+                }
+            }
             if entry.hosts.as_ref().is_some_and(|h| h.snapshot) {
                 self.listed.store(true, Ordering::SeqCst);
             }
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod config;
 pub mod journal;
 pub mod limits;
+pub mod line;
 pub mod log;
 pub mod server;
 pub mod wiring;
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -3,6 +3,7 @@
 use crate::config::{self, Config};
 use crate::journal::{Journal, Names, Service};
 use crate::limits;
+use crate::line::{self, Hand, Sources};
 use crate::wiring::{Live, Zones};
 use foldmux::interface::{Class, Repeat, Time};
 use foldmux::Router;
@@ -14,22 +15,23 @@
 use foldmux_extproc::life::Class as Processed;
 use foldmux_extproc::serve::{Bound as Processor, Serving};
 use foldmux_fronts::dns::server::Bound;
-use foldmux_fronts::listen::{accept, named, READER_STACK};
+use foldmux_fronts::listen::{accept_until, named, shared, READER_STACK};
 use foldmux_fronts::msgpack::{Front, Taken};
 use foldmux_fronts::places::Places;
 use foldmux_operator::Operator;
 use foldmux_upstream::{pool::Pool, Upstream};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
-use std::net::TcpListener;
-use std::path::Path;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
 /// Served on after SIGTERM: new connections arrive for 0.4 s, requests on them for 0.2 s more.
 const SERVE_ON: Duration = Duration::from_millis(800);
+/// Connections are taken for this long after SIGTERM; then those queued, and the listener closes.
+const TAKE_ON: Duration = Duration::from_millis(400);
 /// Between the last answer and the exit: it has left, and its client reads it.
 const LINGER: Duration = Duration::from_millis(50);
 /// Longest wait for what is open after that: SIGKILL follows.
@@ -101,7 +103,13 @@
     // The wiring comes before the list: no fill goes another way first.
     let tree = operator.hierarchy.as_ref();
     let mut live = tree.map(|h| Live::start(h, zones, clock.clone(), handle.clone())).transpose()?;
-    let mut journal = Journal::new(names, clock, handle, pool, listed.clone());
+    let mut journal = Journal::new(names, clock, handle.clone(), pool, listed.clone());
+    // Kept where the platform gives this place a folder of its own, which a new version beside this one shares.
+    let kept = std::env::var_os("TMPDIR").map(PathBuf::from);
+    let kept = kept.map(|dir| dir.join(format!("foldmux-maintenance-{}", config.listen.port())));
+    let hand = Arc::new(Hand::new(handle, kept));
+    journal.hand = Some(hand.clone());
+    classes.iter().for_each(|class| core.tally.know(class));
     // What is known at the start comes before anything else.
     if !journal.take(&config.known) {
         return Err("configuration: known has a gap in its events".to_string());
@@ -122,10 +130,10 @@
         }
         None => None,
     };
-    let listener =
-        TcpListener::bind(config.listen).map_err(|e| format!("listening on {}: {e}", config.listen))?;
+    let listener = shared(config.listen).map_err(|e| format!("listening on {}: {e}", config.listen))?;
     let on = listener.local_addr().map_err(|e| e.to_string())?;
     let leaving = Arc::new(AtomicBool::new(false));
+    let listed_too = listed.clone();
     let front = Arc::new(Front {
         core: core.clone(),
         classes: taken,
@@ -135,8 +143,25 @@
     });
     let serve = move |place| front.serve(place);
     let places = Places::new(bounds.clients);
-    named("accept", READER_STACK, move || accept(&listener, &places, READER_STACK, Arc::new(serve)))?;
+    let closing = Arc::new(AtomicBool::new(false));
+    let (close, connections) = (closing.clone(), places.clone());
+    named("accept", READER_STACK, move || {
+        accept_until(&listener, &places, READER_STACK, Arc::new(serve), &close);
+        tracing::info!("no more connections are taken");
+    })?;
     tracing::info!("{} serves on {on}", config.name);
+    let sources = Arc::new(Sources {
+        core: core.clone(),
+        hand,
+        listed: listed_too,
+        leaving: leaving.clone(),
+        conf_loaded: AtomicU64::new(0),
+        conf_invalid: AtomicU64::new(0),
+    });
+    if let Some(address) = config.operator {
+        let on = line::serve(address, sources.clone())?;
+        tracing::info!("operator line on {on}");
+    }
 
     let told = core.clone();
     named("tally", READER_STACK, move || loop {
@@ -151,7 +176,10 @@
     })?;
     for _ in signals.forever().take_while(|signal| *signal == SIGHUP) {
         let told = |result: Result<String, String>| result.unwrap_or_else(|e| e + "; all stays as it was");
-        tracing::info!("reload: {}", told(reload(file, &service)));
+        let reloaded = reload(file, &service);
+        let count = if reloaded.is_ok() { &sources.conf_loaded } else { &sources.conf_invalid };
+        count.fetch_add(1, Ordering::Relaxed);
+        tracing::info!("reload: {}", told(reloaded));
         if let (Some(live), Some(own_file)) = (&mut live, own_file) {
             tracing::info!("rewire: {}", told(rewire(own_file, live)));
         }
@@ -166,7 +194,7 @@
         let ended = serving.leave(LONGEST);
         tracing::info!("external processor: {}; all streams ended: {ended}", serving.line());
     }
-    leave(&core, &leaving);
+    leave(&core, &leaving, &closing, &connections);
     Ok(())
 }
 
@@ -217,10 +245,13 @@
 }
 
 /// Serves on for a while, answers what was taken, and returns.
-fn leave(core: &Core, leaving: &AtomicBool) {
+fn leave(core: &Core, leaving: &AtomicBool, closing: &AtomicBool, connections: &Places) {
     leaving.store(true, Ordering::SeqCst);
+    connections.leave();
     let told = Instant::now();
-    thread::sleep(SERVE_ON);
+    thread::sleep(TAKE_ON);
+    closing.store(true, Ordering::SeqCst);
+    thread::sleep(SERVE_ON - TAKE_ON);
     while core.open() > 0 && told.elapsed() < LONGEST {
         thread::sleep(Duration::from_millis(5));
     }
