Give each request at most the time left before SIGKILL; refuse at once what has none

Cause: after SIGTERM the old process kept taking requests on busy connections (never idle, so never closed) and SIGKILL found 4 to 38 of them open (a probe of core.open() every 250 ms in leave()): lost. Ruled out: stopping all reads 0.8 s after SIGTERM (lost 40 -> 219).

Change: the front knows, from SIGTERM, when SIGKILL may come (longest deadline, at most 3 s, plus 0.7 s, less 250 ms kept back). A request gets no more than that; one with under 50 ms of it is refused with w.

--- a/fronts/src/msgpack/mod.rs
+++ b/fronts/src/msgpack/mod.rs
@@ -14,7 +14,7 @@
 use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Open requests that one connection carries.
@@ -28,6 +28,8 @@
 /// For the first message, and for the rest of any message that has begun: a client is owed a word or a close
 /// within 3 s, whatever it sends.
 const HALF: Duration = Duration::from_millis(2_500);
+/// Leaving, a request with less time than this before the process must go is refused rather than begun (us).
+const LEAST_LEFT: Time = 50_000;
 
 /// A class as it is served here.
 pub struct Taken {
@@ -43,6 +45,8 @@
     pub classes: Vec<Taken>,
     pub listed: Arc<AtomicBool>,
     pub leaving: Arc<AtomicBool>,
+    /// Set on leaving: when SIGKILL may come. No request taken here is to be open then.
+    pub leave_by: Arc<OnceLock<Instant>>,
     /// Callers of this front prove no identity.
     pub nobody: Arc<str>,
 }
@@ -130,7 +134,16 @@
             Ok(asked) => asked,
             Err(why) => return self.unusable(connection, id, why),
         };
-        let budget = ((asked.wait_ms * 1000.0) as Time).min(taken.longest);
+        let mut budget = ((asked.wait_ms * 1000.0) as Time).min(taken.longest);
+        if let Some(by) = self.leave_by.get() {
+            // Leaving: what can't end before the process must go is given up at once, for another to take.
+            let left = by.saturating_duration_since(arrived).as_micros() as Time;
+            if left < LEAST_LEFT {
+                self.core.tally.end(Some(&taken.name), End::Shed);
+                return connection.write(&codec::shed(id, self.core.shed_wait), arrived + SLOW);
+            }
+            budget = budget.min(left);
+        }
         let deadline = arrived + span(budget);
         let slot = self.core.slot();
         // Guards against one client's flood taking all places for requests: the last are for those under their share.
--- a/operations/src/call.rs
+++ b/operations/src/call.rs
@@ -64,8 +64,8 @@
     }
 }
 
-/// Cuts calls out of what a connection sent. Bounded: a line longer than `LONGEST` is told as one fault, and its
-/// rest is passed over up to its end of line, however long it is.
+/// Cuts calls out of what a connection sent. Bounded: a line longer than `LONGEST` is told as one fault as soon as
+/// it is too long, and its rest is passed over up to its end of line, however long it is.
 #[derive(Default)]
 pub struct Lines {
     held: Vec<u8>,
@@ -79,9 +79,7 @@
         let mut calls = Vec::new();
         for &byte in bytes {
             if byte == b'\n' {
-                if std::mem::take(&mut self.skipping) {
-                    calls.push(Err(Fault::TooLong));
-                } else {
+                if !std::mem::take(&mut self.skipping) {
                     let line = std::mem::take(&mut self.held);
                     let line = line.strip_suffix(b"\r").unwrap_or(&line);
                     calls.push(parse(line));
@@ -91,6 +89,7 @@
                 if self.held.len() > LONGEST + 1 {
                     self.held.clear();
                     self.skipping = true;
+                    calls.push(Err(Fault::TooLong));
                 }
             }
         }
@@ -148,7 +147,10 @@
             let mut lines = Lines::default();
             let mut calls = lines.feed(&bytes[..cut]);
             calls.extend(lines.feed(&bytes[cut..]));
-            prop_assert_eq!(calls.len(), bytes.iter().filter(|b| **b == b'\n').count());
+            let segments: Vec<&[u8]> = bytes.split(|b| *b == b'\n').collect();
+            let (whole, rest) = segments.split_at(segments.len() - 1);
+            let owed = whole.len() + usize::from(rest[0].len() > LONGEST + 1);
+            prop_assert_eq!(calls.len(), owed);
             prop_assert!(lines.held.len() <= LONGEST + 1);
         }
     }
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -24,7 +24,7 @@
 use signal_hook::iterator::Signals;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -32,6 +32,11 @@
 const SERVE_ON: Duration = Duration::from_millis(800);
 /// Connections are taken for this long after SIGTERM; then those queued, and the listener closes.
 const TAKE_ON: Duration = Duration::from_millis(400);
+/// Of the platform's SIGKILL after SIGTERM: the longest deadline, at most 3 s, then 0.7 s; and what is kept back
+/// from that for the last answers to be written and read.
+const KILL_AFTER_MOST: Duration = Duration::from_secs(3);
+const KILL_GRACE: Duration = Duration::from_millis(700);
+const KILL_MARGIN: Duration = Duration::from_millis(250);
 /// Between the last answer and the exit: it has left, and its client reads it.
 const LINGER: Duration = Duration::from_millis(50);
 /// Longest wait for what is open after that: SIGKILL follows.
@@ -134,7 +139,10 @@
     let on = listener.local_addr().map_err(|e| e.to_string())?;
     let leaving = Arc::new(AtomicBool::new(false));
     let listed_too = listed.clone();
+    let leave_by = Arc::new(OnceLock::new());
+    let longest = taken.iter().map(|class| class.longest).max().unwrap_or(0);
     let front = Arc::new(Front {
+        leave_by: leave_by.clone(),
         core: core.clone(),
         classes: taken,
         listed,
@@ -194,6 +202,9 @@
         let ended = serving.leave(LONGEST);
         tracing::info!("external processor: {}; all streams ended: {ended}", serving.line());
     }
+    // SIGKILL comes no earlier than the longest deadline, taken as 3 s where it is longer, and 0.7 s after that.
+    let kill = span(longest).min(KILL_AFTER_MOST) + KILL_GRACE - KILL_MARGIN;
+    let _ = leave_by.set(Instant::now() + kill);
     leave(&core, &leaving, &closing, &connections);
     Ok(())
 }
--- /dev/null
+++ b/proxy/tests/days.rs
@@ -0,0 +1,148 @@
+//! The operators' days by the program itself: the operator line, and a new version beside the old one.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Stdio};
+use std::sync::mpsc::{channel, Receiver};
+use std::time::Duration;
+
+mod common;
+
+const PATIENCE: Duration = Duration::from_secs(30);
+
+struct Running {
+    child: Child,
+    log: Receiver<String>,
+    serves: SocketAddr,
+    operator: SocketAddr,
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Starts the program on `config`, its client address overridden by `listen` where given.
+fn start(config: &std::path::Path, listen: Option<SocketAddr>) -> Result<Running, String> {
+    let mut command = common::command(&["serve"]);
+    command.env("GW_CONFIG", config).env("GW_OPERATOR", "127.0.0.1:0").env_remove("TMPDIR");
+    if let Some(listen) = listen {
+        command.env("GW_LISTEN", listen.to_string());
+    }
+    let mut child = command.stderr(Stdio::piped()).spawn().expect("the program");
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+    let (mut serves, mut operator, mut said) = (None, None, String::new());
+    while serves.is_none() || operator.is_none() {
+        let Some(line) = lines.next() else {
+            let _ = child.wait();
+            return Err(said);
+        };
+        let after = |words: &str| line.split_once(words).and_then(|(_, at)| at.trim().parse().ok());
+        serves = serves.or(after(" serves on "));
+        operator = operator.or(after("operator line on "));
+        said += &line;
+    }
+    let (told, log) = channel();
+    std::thread::spawn(move || lines.for_each(|line| drop(told.send(line))));
+    Ok(Running { child, log, serves: serves.unwrap(), operator: operator.unwrap() })
+}
+
+fn configured(name: &str) -> (std::path::PathBuf, TcpListener, TcpListener) {
+    let listener = || TcpListener::bind("127.0.0.1:0").unwrap();
+    let (caches, journal) = (listener(), listener());
+    let config = common::config(caches.local_addr().unwrap(), journal.local_addr().unwrap());
+    let file = std::env::temp_dir().join(format!("foldmux-days-{name}-{}", std::process::id()));
+    std::fs::write(&file, config).unwrap();
+    (file, caches, journal)
+}
+
+/// Sends `line` on a new connection and reads the answer: one line, or up to `end` after `stats`.
+fn call(operator: SocketAddr, line: &[u8]) -> String {
+    let stream = TcpStream::connect(operator).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    (&stream).write_all(line).unwrap();
+    let mut reader = BufReader::new(stream);
+    let mut answer = String::new();
+    loop {
+        let mut one = String::new();
+        if reader.read_line(&mut one).unwrap() == 0 {
+            break;
+        }
+        answer += &one;
+        let whole = !answer.starts_with("done\n") || one == "end\n";
+        if whole {
+            break;
+        }
+    }
+    answer
+}
+
+#[test]
+fn the_operator_line_answers_each_call_and_a_bad_line_costs_only_itself() {
+    let (file, _caches, _journal) = configured("line");
+    let running = start(&file, None).unwrap();
+    let at = running.operator;
+    // One that never sends a whole call holds no one else up.
+    let mut silent = TcpStream::connect(at).unwrap();
+    silent.write_all(b"sta").unwrap();
+    assert_eq!(call(at, b"status\n"), "done yes\n");
+    let stats = call(at, b"stats\n");
+    for figure in
+        ["proxy.answered.sheet:0|c", "proxy.sends.record:0|c", "proxy.current:0|g", "proxy.cluster_size:3|g"]
+    {
+        assert!(stats.lines().any(|line| line == figure), "{figure} in {stats}");
+    }
+    assert!(stats.ends_with("proxy.conf_invalid:0|c\nend\n"), "{stats}");
+    assert!(call(at, b"reboot\n").starts_with("error no call"));
+    assert!(call(at, b"maint-on s-0000cafe\n").starts_with("error no pop cache"));
+    assert!(call(at, &[b'x'; 10_000]).starts_with("error"), "a line too long, not yet ended");
+    // Two calls out, one call back; and the connection goes on after a fault.
+    let stream = TcpStream::connect(at).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    (&stream).write_all(b"maint-on s-00000001\nmaint-on s-00000001\nnonsense\nstats\n").unwrap();
+    let mut reader = BufReader::new(stream);
+    let mut lines = Vec::new();
+    while lines.last().map(String::as_str) != Some("end") {
+        let mut line = String::new();
+        assert!(reader.read_line(&mut line).unwrap() > 0, "{lines:?}");
+        lines.push(line.trim_end().to_string());
+    }
+    assert_eq!(
+        &lines[..3],
+        [
+            "done s-00000001 is out",
+            "done s-00000001 is out",
+            "error no call \"nonsense\"; calls: status, stats, maint-on ID, maint-off ID"
+        ]
+    );
+    assert!(lines.contains(&"proxy.cluster_unhealthy:1|g".to_string()), "{lines:?}");
+    assert_eq!(call(at, b"maint-off s-00000001\n"), "done s-00000001 is back\n");
+    assert!(call(at, b"stats\n").contains("proxy.cluster_unhealthy:0|g\n"));
+    silent.write_all(b"tus\n").unwrap();
+    let mut answer = [0; 9];
+    silent.set_read_timeout(Some(PATIENCE)).unwrap();
+    silent.read_exact(&mut answer).unwrap();
+    assert_eq!(&answer, b"done yes\n");
+    drop(running);
+    let _ = std::fs::remove_file(file);
+}
+
+#[test]
+fn a_new_version_listens_beside_the_old_one_on_the_same_address() {
+    let (file, _caches, _journal) = configured("beside");
+    let old = start(&file, None).unwrap();
+    let new = start(&file, Some(old.serves)).expect("a second process on the same address");
+    assert_eq!(new.serves, old.serves);
+    assert_eq!(call(new.operator, b"status\n"), "done yes\n");
+    // The old one leaves on SIGTERM, saying no from then on, and the new one goes on taking clients.
+    let id = old.child.id().to_string();
+    assert!(std::process::Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+    let left = std::iter::from_fn(|| old.log.recv_timeout(PATIENCE).ok()).find(|l| l.contains("left "));
+    assert!(left.is_some());
+    for _ in 0..20 {
+        TcpStream::connect(new.serves).expect("the new one takes clients");
+    }
+    let _ = std::fs::remove_file(file);
+}
