Retune by SIGHUP: classes added, changed and dropped, broken files refused and counted

Change: operations/src/retune.rs keeps every class ever taken at its place (a class only changes place when its rules change), so an open request keeps the class it came with; the module takes the new settings whole (Router::retune, 5 lines; Notice::Retuned at the desk), then the front swaps the names it takes. The settings refuse attempts or a deadline not above 0 and an empty class list; a refused file changes nothing and counts in conf_invalid, a taken one in conf_loaded. cluster_unhealthy counts those out by hand at once, not only after the desk has heard.

--- a/core/src/desk.rs
+++ b/core/src/desk.rs
@@ -38,6 +38,8 @@
         group: u32,
         ago: Time,
     },
+    /// Other settings by SIGHUP; their classes keep the places of the old ones.
+    Retuned(Box<foldmux::interface::Settings>),
     /// The hierarchy's wiring, as it concerns this proxy.
     Wired {
         hubs: Vec<usize>,
@@ -186,6 +188,7 @@
                 self.handle(Event::Members { full, members });
             }
             Notice::Wired { hubs, hub_of } => self.handle(Event::Wired { hubs, hub_of }),
+            Notice::Retuned(settings) => self.router.retune(*settings),
             Notice::Purged { object, group, ago } => self.handle(Event::Purged { object, group, ago }),
         }
     }
--- a/core/src/members.rs
+++ b/core/src/members.rs
@@ -44,10 +44,11 @@
 
     /// Whether new work may still go to this start of the member, or name it as a source.
     /// Guards against a drain, an end or a restart that was told of while an attempt was dialling.
-    /// How many are listed, and how many of them are not ready.
-    pub fn census(&self) -> (usize, usize) {
+    /// How many are listed, and how many of them are not ready or are `out` by name.
+    pub fn census(&self, out: impl Fn(&str) -> bool) -> (usize, usize) {
         let members = self.by_id.read().unwrap_or_else(PoisonError::into_inner);
-        (members.len(), members.values().filter(|m| m.member.state != State::Ready).count())
+        let avoided = members.values().filter(|m| m.member.state != State::Ready || out(&m.name)).count();
+        (members.len(), avoided)
     }
 
     pub fn allows(&self, cache: CacheId, start: Start) -> bool {
--- a/fronts/src/msgpack/mod.rs
+++ b/fronts/src/msgpack/mod.rs
@@ -14,7 +14,7 @@
 use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
 /// Open requests that one connection carries.
@@ -32,8 +32,11 @@
 const LEAST_LEFT: Time = 50_000;
 
 /// A class as it is served here.
+#[derive(Clone)]
 pub struct Taken {
     pub name: Arc<str>,
+    /// Its place among the module's classes.
+    pub place: usize,
     /// Its requests carry an idempotency key.
     pub keyed: bool,
     /// The longest that a client waits for one.
@@ -42,7 +45,8 @@
 
 pub struct Front {
     pub core: Arc<Core>,
-    pub classes: Vec<Taken>,
+    /// The classes that clients may name now; a reload puts others in their place.
+    pub classes: RwLock<Arc<Vec<Taken>>>,
     pub listed: Arc<AtomicBool>,
     pub leaving: Arc<AtomicBool>,
     /// Set on leaving: when SIGKILL may come. No request taken here is to be open then.
@@ -122,10 +126,11 @@
             let well = self.listed.load(Ordering::SeqCst) && !self.leaving.load(Ordering::SeqCst);
             return connection.write(&codec::well(id, well), arrived + SLOW);
         }
-        let Some(class) = self.classes.iter().position(|c| *c.name == *call.method) else {
+        let classes = self.classes.read().unwrap_or_else(PoisonError::into_inner).clone();
+        let Some(taken) = classes.iter().find(|c| *c.name == *call.method) else {
             return self.unusable(connection, id, "no such class");
         };
-        let taken = &self.classes[class];
+        let class = taken.place;
         let asked = match call.asked {
             Ok(asked) if taken.keyed && asked.token.is_none() => Err("no idempotency key"),
             asked => asked,
--- a/operations/src/lib.rs
+++ b/operations/src/lib.rs
@@ -6,4 +6,5 @@
 
 pub mod call;
 pub mod maintenance;
+pub mod retune;
 pub mod stats;
--- a/proxy/src/line.rs
+++ b/proxy/src/line.rs
@@ -93,10 +93,9 @@
         Ok(changed)
     }
 
-    /// How many of the listed are out by hand.
-    pub fn out(&self) -> usize {
-        let held = self.held();
-        held.told.keys().filter(|name| held.out.holds(name)).count()
+    /// The pop caches out by hand, as they are now.
+    pub fn out(&self) -> Maintenance {
+        self.held().out.clone()
     }
 
     fn keep(&self, out: &Maintenance) {
@@ -135,7 +134,8 @@
             errored,
             sends,
         });
-        let (size, unready) = self.core.members.census();
+        let out = self.hand.out();
+        let (size, unready) = self.core.members.census(|name| out.holds(name));
         Figures {
             classes: classes.collect(),
             current: (self.core.open() + self.core.lent()) as u64,
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -9,6 +9,7 @@
 use foldmux::Router;
 use foldmux_core::buffers::Buffers;
 use foldmux_core::clock::{span, Clock};
+use foldmux_core::desk::Notice;
 use foldmux_core::limits::Limiter;
 use foldmux_core::members::Members;
 use foldmux_core::{Core, Desk};
@@ -18,13 +19,14 @@
 use foldmux_fronts::listen::{accept_until, named, shared, READER_STACK};
 use foldmux_fronts::msgpack::{Front, Taken};
 use foldmux_fronts::places::Places;
+use foldmux_operations::retune::Classes;
 use foldmux_operator::Operator;
 use foldmux_upstream::{pool::Pool, Upstream};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, OnceLock};
+use std::sync::{Arc, OnceLock, PoisonError, RwLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -65,11 +67,8 @@
     let shed_wait = decoded.settings.retry_after.map_or(0, |longest| SHED_WAIT.min(longest));
     let cold_for = decoded.settings.cache_cold_for.max(decoded.settings.parent_cold_for);
     let classes: Vec<Arc<str>> = decoded.classes.iter().map(|c| c.as_str().into()).collect();
-    let served = |(name, class): (&Arc<str>, &Class)| {
-        let keyed = matches!(class.repeat, Repeat::Keyed(_));
-        Taken { name: name.clone(), keyed, longest: class.deadline }
-    };
-    let taken: Vec<Taken> = classes.iter().zip(&decoded.settings.classes).map(served).collect();
+    let mut tune = Classes::new(rules(&decoded)).map_err(|refused| format!("configuration: {refused}"))?;
+    let taken = served(&tune);
     let writes: Vec<bool> = decoded.settings.classes.iter().map(|c| c.pass_on).collect();
     let attempts = decoded.settings.max_attempts;
     let account = limits::account(&decoded, config.limits[0], config.limits[1]);
@@ -144,11 +143,12 @@
     let front = Arc::new(Front {
         leave_by: leave_by.clone(),
         core: core.clone(),
-        classes: taken,
+        classes: RwLock::new(Arc::new(taken)),
         listed,
         leaving: leaving.clone(),
         nobody: "".into(),
     });
+    let retuned = front.clone();
     let serve = move |place| front.serve(place);
     let places = Places::new(bounds.clients);
     let closing = Arc::new(AtomicBool::new(false));
@@ -184,7 +184,7 @@
     })?;
     for _ in signals.forever().take_while(|signal| *signal == SIGHUP) {
         let told = |result: Result<String, String>| result.unwrap_or_else(|e| e + "; all stays as it was");
-        let reloaded = reload(file, &service);
+        let reloaded = reload(file, &service, &mut tune, &retuned);
         let count = if reloaded.is_ok() { &sources.conf_loaded } else { &sources.conf_invalid };
         count.fetch_add(1, Ordering::Relaxed);
         tracing::info!("reload: {}", told(reloaded));
@@ -212,10 +212,46 @@
 /// Reads the configuration again and goes by where it says that the journal service is; whatever else it says
 /// holds from the next start. Guards against a file that can't be used, or names no journal service, costing
 /// the one that there is.
-fn reload(file: &Path, service: &Service) -> Result<String, String> {
-    let address = config::read(file)?.journal.ok_or("the configuration names no journal service")?;
+fn reload(file: &Path, service: &Service, tune: &mut Classes<Rule>, front: &Front) -> Result<String, String> {
+    let config = config::read(file)?;
+    let address = config.journal.ok_or("the configuration names no journal service")?;
+    let mut settings = config.decoded.settings.clone();
+    tune.take(rules(&config.decoded)).map_err(|refused| format!("configuration: {refused}"))?;
+    settings.classes = tune.all().map(|rule| rule.0.clone()).collect();
+    // The module knows the new places before any client can name them.
+    front.core.desk.tell(Notice::Retuned(Box::new(settings)));
+    let taken = served(tune);
+    taken.iter().for_each(|class| front.core.tally.know(&class.name));
+    *front.classes.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(taken);
     service.move_to(address);
-    Ok(format!("the journal service is at {address}"))
+    let names: Vec<&str> = tune.named().iter().map(|(name, _)| name.as_str()).collect();
+    Ok(format!("classes {}; the journal service is at {address}", names.join(", ")))
+}
+
+/// A class's rules, the same where their every value is.
+#[derive(Clone)]
+struct Rule(Class, String);
+
+impl PartialEq for Rule {
+    fn eq(&self, other: &Rule) -> bool {
+        self.1 == other.1
+    }
+}
+
+fn rules(decoded: &foldmux_settings::Decoded) -> Vec<(String, Rule)> {
+    let rule = |(name, class): (&String, &Class)| (name.clone(), Rule(class.clone(), format!("{class:?}")));
+    decoded.classes.iter().zip(&decoded.settings.classes).map(rule).collect()
+}
+
+/// The classes that the front takes by name, each at its place.
+fn served(tune: &Classes<Rule>) -> Vec<Taken> {
+    let all: Vec<&Rule> = tune.all().collect();
+    let one = |(name, place): &(String, usize)| {
+        let class = &all[*place].0;
+        let keyed = matches!(class.repeat, Repeat::Keyed(_));
+        Taken { name: name.as_str().into(), place: *place, keyed, longest: class.deadline }
+    };
+    tune.named().iter().map(one).collect()
 }
 
 /// Reads the operator's file again and takes its tree. Whatever else it says holds from the next start.
--- a/proxy/tests/days.rs
+++ b/proxy/tests/days.rs
@@ -146,3 +146,49 @@
     }
     let _ = std::fs::remove_file(file);
 }
+
+#[test]
+fn a_broken_file_at_sighup_leaves_the_settings_whole_and_is_counted() {
+    let (file, caches, journal) = configured("retune");
+    let running = start(&file, None).unwrap();
+    let good = common::config(caches.local_addr().unwrap(), journal.local_addr().unwrap());
+    let hup = |text: &str| {
+        std::fs::write(&file, text).unwrap();
+        let id = running.child.id().to_string();
+        assert!(std::process::Command::new("kill").args(["-HUP", &id]).status().unwrap().success());
+        std::iter::from_fn(|| running.log.recv_timeout(PATIENCE).ok())
+            .find(|l| l.contains("reload: "))
+            .unwrap()
+    };
+    let broken = [
+        String::new(),
+        good[..good.len() / 2].to_string(),
+        good.replace("\"listen\"", "\"lisen\""),
+        good.replace("\"hardLimit\":30000000", "\"hardLimit\":0"),
+        good.replace("\"maxAttempts\":4", "\"maxAttempts\":0"),
+    ];
+    for text in &broken {
+        assert!(hup(text).ends_with("all stays as it was"), "{text}");
+    }
+    let stats = call(running.operator, b"stats\n");
+    assert!(
+        stats.contains("proxy.conf_invalid:5|c\n") && stats.contains("proxy.conf_loaded:0|c\n"),
+        "{stats}"
+    );
+    assert!(!stats.contains(".video:"), "{stats}");
+    // A class added, and the changed rules of another, from one good file on.
+    let added = good.replace(
+        r#"{"name":"sheet","slo":20000000,"hardLimit":30000000,"#,
+        r#"{"name":"video","slo":20000000,"hardLimit":30000000,"idempotency":"free"},{"name":"sheet","slo":10000000,"hardLimit":20000000,"#,
+    );
+    let said = hup(&added.replace("\"passOn\":[false,true]", "\"passOn\":[false,false,true]"));
+    assert!(said.contains("classes video, sheet, record"), "{said}");
+    let stats = call(running.operator, b"stats\n");
+    assert!(
+        stats.contains("proxy.answered.video:0|c\n") && stats.contains("proxy.conf_loaded:1|c\n"),
+        "{stats}"
+    );
+    assert_eq!(call(running.operator, b"status\n"), "done yes\n");
+    drop(running);
+    let _ = std::fs::remove_file(file);
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -143,8 +143,17 @@
 impl Facts {
     pub fn decode(self) -> Result<Decoded, String> {
         let Facts { limits, rules, domain, dcs, kinds, .. } = self;
+        if limits.max_attempts == 0 {
+            return Err("settings: limits.maxAttempts is not above 0".to_string());
+        }
+        if self.classes.is_empty() {
+            return Err("settings: no class".to_string());
+        }
         let mut classes = Vec::new();
         for (k, c) in self.classes.iter().enumerate() {
+            if c.hard_limit == 0 {
+                return Err(format!("settings: classes[{k}] has a deadline (hardLimit) not above 0"));
+            }
             let group = match c.group.as_str() {
                 "zone" => Group::Zone,
                 "cell" => Group::Cell,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -339,6 +339,12 @@
 }
 
 impl Router {
+    /// Other settings, all at once. Their classes keep the places of the old ones (open requests go by theirs).
+    pub fn retune(&mut self, settings: Settings) {
+        self.class_work.resize(settings.classes.len().max(self.class_work.len()), 0.0);
+        self.settings = settings;
+    }
+
     pub fn new(settings: Settings, seed: u64) -> Router {
         let class_work = vec![0.0; settings.classes.len()];
         Router {
