Share maintenance between the two processes of an upgrade, through the file under TMPDIR

Before, each read the file at its start alone.

Change: where the set is kept in a file, a thread looks at it every 50 ms and takes what the process beside it wrote, telling the desk the lines that changed; a call that changes the set waits three looks before its answer.

--- a/proxy/src/line.rs
+++ b/proxy/src/line.rs
@@ -26,6 +26,8 @@
 const STACK: usize = 64 * 1024;
 /// A connection without a whole call for this long is closed.
 const IDLE: Duration = Duration::from_secs(30);
+/// How often the set kept on disk is looked at, for what a process beside this one changed.
+pub const SYNC_EVERY: Duration = Duration::from_millis(50);
 /// A write that the caller does not read for this long ends the connection.
 const WRITE_FOR: Duration = Duration::from_millis(500);
 
@@ -98,6 +100,37 @@
         self.held().out.clone()
     }
 
+    /// Takes what another process of this place (a version beside this one) wrote, where it differs: both count
+    /// as one edge proxy, and a pop cache that one of them takes out is out for both.
+    pub fn sync(&self) {
+        let Some(file) = &self.file else { return };
+        let Ok(text) = std::fs::read_to_string(file) else { return };
+        let kept = Maintenance::parse(&text);
+        let mut held = self.held();
+        if kept == held.out {
+            return;
+        }
+        let changed: Vec<Listed> = held
+            .told
+            .values()
+            .filter(|line| kept.holds(&line.name) != held.out.holds(&line.name))
+            .map(|line| out_by_hand(&kept, line.clone()))
+            .collect();
+        held.out = kept;
+        if !changed.is_empty() {
+            tracing::info!(
+                "maintenance: {} pop caches changed by the process beside this one",
+                changed.len()
+            );
+            self.desk.tell(Notice::Members { full: false, listed: changed });
+        }
+    }
+
+    /// Whether the set is shared with another process through a file.
+    pub fn shared(&self) -> bool {
+        self.file.is_some()
+    }
+
     fn keep(&self, out: &Maintenance) {
         let Some(file) = &self.file else { return };
         let fresh = file.with_extension("new");
@@ -162,7 +195,12 @@
     }
 
     fn maint(&self, id: &str, out: bool) -> String {
-        match self.hand.set(id, out) {
+        let set = self.hand.set(id, out);
+        if matches!(set, Ok(true)) && self.hand.shared() {
+            // The process beside this one, where there is one, takes it within its next look.
+            std::thread::sleep(SYNC_EVERY * 3);
+        }
+        match set {
             Ok(_) if out => format!("done {id} is out\n"),
             Ok(_) => format!("done {id} is back\n"),
             Err(Refused::Unknown) => format!("error no pop cache {id}\n"),
@@ -176,6 +214,13 @@
     let listener = TcpListener::bind(address).map_err(|e| format!("operator line on {address}: {e}"))?;
     let on = listener.local_addr().map_err(|e| e.to_string())?;
     let open = Arc::new(AtomicUsize::new(0));
+    if sources.hand.shared() {
+        let hand = sources.hand.clone();
+        named("maintenance", STACK, move || loop {
+            std::thread::sleep(SYNC_EVERY);
+            hand.sync();
+        })?;
+    }
     named("operator", STACK, move || loop {
         let Ok((stream, _)) = listener.accept() else {
             std::thread::sleep(Duration::from_millis(10));
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -107,10 +107,12 @@
     // The wiring comes before the list: no fill goes another way first.
     let tree = operator.hierarchy.as_ref();
     let mut live = tree.map(|h| Live::start(h, zones, clock.clone(), handle.clone())).transpose()?;
+    let listener = shared(config.listen).map_err(|e| format!("listening on {}: {e}", config.listen))?;
+    let on = listener.local_addr().map_err(|e| e.to_string())?;
     let mut journal = Journal::new(names, clock, handle.clone(), pool, listed.clone());
     // Kept where the platform gives this place a folder of its own, which a new version beside this one shares.
     let kept = std::env::var_os("TMPDIR").map(PathBuf::from);
-    let kept = kept.map(|dir| dir.join(format!("foldmux-maintenance-{}", config.listen.port())));
+    let kept = kept.map(|dir| dir.join(format!("foldmux-maintenance-{}", on.port())));
     let hand = Arc::new(Hand::new(handle, kept));
     journal.hand = Some(hand.clone());
     classes.iter().for_each(|class| core.tally.know(class));
@@ -134,8 +136,6 @@
         }
         None => None,
     };
-    let listener = shared(config.listen).map_err(|e| format!("listening on {}: {e}", config.listen))?;
-    let on = listener.local_addr().map_err(|e| e.to_string())?;
     let leaving = Arc::new(AtomicBool::new(false));
     let listed_too = listed.clone();
     let leave_by = Arc::new(OnceLock::new());
--- a/proxy/tests/days.rs
+++ b/proxy/tests/days.rs
@@ -26,8 +26,20 @@
 
 /// Starts the program on `config`, its client address overridden by `listen` where given.
 fn start(config: &std::path::Path, listen: Option<SocketAddr>) -> Result<Running, String> {
+    start_in(config, listen, None)
+}
+
+/// As `start`, with `$TMPDIR` where given: there the pop caches out by hand are kept.
+fn start_in(
+    config: &std::path::Path,
+    listen: Option<SocketAddr>,
+    tmp: Option<&std::path::Path>,
+) -> Result<Running, String> {
     let mut command = common::command(&["serve"]);
     command.env("GW_CONFIG", config).env("GW_OPERATOR", "127.0.0.1:0").env_remove("TMPDIR");
+    if let Some(tmp) = tmp {
+        command.env("TMPDIR", tmp);
+    }
     if let Some(listen) = listen {
         command.env("GW_LISTEN", listen.to_string());
     }
@@ -132,10 +144,19 @@
 #[test]
 fn a_new_version_listens_beside_the_old_one_on_the_same_address() {
     let (file, _caches, _journal) = configured("beside");
-    let old = start(&file, None).unwrap();
-    let new = start(&file, Some(old.serves)).expect("a second process on the same address");
+    let tmp = std::env::temp_dir().join(format!("foldmux-days-tmp-{}", std::process::id()));
+    std::fs::create_dir_all(&tmp).unwrap();
+    let old = start_in(&file, None, Some(&tmp)).unwrap();
+    assert!(call(old.operator, b"maint-on s-00000002\n").starts_with("done"));
+    let new = start_in(&file, Some(old.serves), Some(&tmp)).expect("a second process on the same address");
     assert_eq!(new.serves, old.serves);
     assert_eq!(call(new.operator, b"status\n"), "done yes\n");
+    // What was out before the new one started is out there too, and what the new one takes out is out for both.
+    assert!(call(new.operator, b"stats\n").contains("proxy.cluster_unhealthy:1|g\n"));
+    assert!(call(new.operator, b"maint-on s-00000001\n").starts_with("done"));
+    assert!(call(old.operator, b"stats\n").contains("proxy.cluster_unhealthy:2|g\n"));
+    assert!(call(new.operator, b"maint-off s-00000002\n").starts_with("done"));
+    assert!(call(old.operator, b"stats\n").contains("proxy.cluster_unhealthy:1|g\n"));
     // The old one leaves on SIGTERM, saying no from then on, and the new one goes on taking clients.
     let id = old.child.id().to_string();
     assert!(std::process::Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
@@ -145,6 +166,7 @@
         TcpStream::connect(new.serves).expect("the new one takes clients");
     }
     let _ = std::fs::remove_file(file);
+    let _ = std::fs::remove_dir_all(tmp);
 }
 
 #[test]
