--- a/src/brain.rs
+++ b/src/brain.rs
@@ -339,7 +339,7 @@
 }
 
 impl Router {
-    /// Other settings, all at once. Their classes keep the places of the old ones (open requests go by theirs).
+    /// Other settings, all at once. Their classes keep the places of the old ones: open requests keep theirs.
     pub fn retune(&mut self, settings: Settings) {
         self.class_work.resize(settings.classes.len().max(self.class_work.len()), 0.0);
         self.settings = settings;
