--- a/core/src/tally.rs
+++ b/core/src/tally.rs
@@ -70,25 +70,26 @@
     }
 
     fn count(&self, class: &Arc<str>, kind: usize) {
-        let mut classes = self.1.lock().unwrap_or_else(PoisonError::into_inner);
-        let place = classes.iter().position(|(name, _)| **name == **class);
-        match place {
-            Some(place) => classes[place].1[kind] += 1,
-            None if classes.len() < CLASSES => {
-                let mut counts = [0; 4];
-                counts[kind] = 1;
-                classes.push((class.clone(), counts));
-            }
-            None => {}
-        }
+        self.counts(class, |counts| counts[kind] += 1);
     }
 
     /// Makes sure that a class is shown, at 0 where nothing of it has ended yet.
     pub fn know(&self, class: &Arc<str>) {
+        self.counts(class, |_| {});
+    }
+
+    /// Changes the counts of `class`, taken at 0 where it is new; past `CLASSES` a new class is not counted.
+    fn counts(&self, class: &Arc<str>, change: impl FnOnce(&mut [u64; 4])) {
         let mut classes = self.1.lock().unwrap_or_else(PoisonError::into_inner);
-        if classes.len() < CLASSES && !classes.iter().any(|(name, _)| **name == **class) {
-            classes.push((class.clone(), [0; 4]));
-        }
+        let place = match classes.iter().position(|(name, _)| **name == **class) {
+            Some(place) => place,
+            None if classes.len() < CLASSES => {
+                classes.push((class.clone(), [0; 4]));
+                classes.len() - 1
+            }
+            None => return,
+        };
+        change(&mut classes[place].1);
     }
 
     /// The counts by class since the start.
--- a/fronts/src/listen.rs
+++ b/fronts/src/listen.rs
@@ -89,7 +89,7 @@
 
 /// How long to leave the listener alone after an error. A connection that ended while it waited is no reason
 /// to wait. Guards against spinning where there are no descriptors: the error stays until one is given back.
-fn pause(error: &io::Error) -> Duration {
+pub fn pause(error: &io::Error) -> Duration {
     match error.kind() {
         io::ErrorKind::ConnectionAborted | io::ErrorKind::Interrupted => Duration::ZERO,
         _ => Duration::from_millis(20),
--- a/fronts/src/msgpack/mod.rs
+++ b/fronts/src/msgpack/mod.rs
@@ -48,8 +48,8 @@
     /// The classes that clients may name now; a reload puts others in their place.
     pub classes: RwLock<Arc<Vec<Taken>>>,
     pub listed: Arc<AtomicBool>,
-    pub leaving: Arc<AtomicBool>,
-    /// Set on leaving: when SIGKILL may come. No request taken here is to be open then.
+    /// Set on SIGTERM, when the process begins to leave: when SIGKILL may come. No request taken here is to be
+    /// open then.
     pub leave_by: Arc<OnceLock<Instant>>,
     /// Callers of this front prove no identity.
     pub nobody: Arc<str>,
@@ -93,9 +93,7 @@
                 }
                 Err(Unread::Over) if reader.get_ref().late => return connection.end_when_answered(),
                 // Leaving, the process reads no more: what was asked is answered, then the connection ends.
-                Err(Unread::Over) if self.leaving.load(Ordering::SeqCst) => {
-                    return connection.end_when_answered()
-                }
+                Err(Unread::Over) if self.leave_by.get().is_some() => return connection.end_when_answered(),
                 Err(Unread::Over) => break,
             }
         }
@@ -123,7 +121,7 @@
     fn call(&self, connection: &Arc<Connection>, call: Call, arrived: Instant) {
         let id = call.id;
         if call.method == "isWell" {
-            let well = self.listed.load(Ordering::SeqCst) && !self.leaving.load(Ordering::SeqCst);
+            let well = self.listed.load(Ordering::SeqCst) && self.leave_by.get().is_none();
             return connection.write(&codec::well(id, well), arrived + SLOW);
         }
         let classes = self.classes.read().unwrap_or_else(PoisonError::into_inner).clone();
--- a/fronts/src/places.rs
+++ b/fronts/src/places.rs
@@ -60,10 +60,7 @@
                 Some(((new, t.asked, idle), t))
             });
             let victim = victim.min_by_key(|(order, _)| *order);
-            victim.into_iter().for_each(|(_, taken)| {
-                taken.ending = true;
-                let _ = taken.stream.shutdown(Shutdown::Both);
-            });
+            victim.into_iter().for_each(|(_, taken)| taken.end());
             let full = |s: &mut State| s.taken.len() >= self.most && s.taken.values().any(|t| t.ending);
             let waited = self.freed.wait_timeout_while(state, MAKE_WAY, full);
             state = waited.unwrap_or_else(PoisonError::into_inner).0;
@@ -77,18 +74,22 @@
         state.next += 1;
         Some(Place { places: self.clone(), number, stream })
     }
-}
 
-impl Places {
     /// The process leaves: connections with nothing open end now, the others with their last answer. A client
     /// whose request crosses such a close sends it again on a new connection, to whoever listens then.
     pub fn leave(&self) {
         let mut state = self.state();
         state.leaving = true;
-        for taken in state.taken.values_mut().filter(|t| t.idle.is_some() && t.asked && !t.ending) {
-            taken.ending = true;
-            let _ = taken.stream.shutdown(Shutdown::Both);
-        }
+        let idle = state.taken.values_mut().filter(|t| t.idle.is_some() && t.asked && !t.ending);
+        idle.for_each(Taken::end);
+    }
+}
+
+impl Taken {
+    /// It is to make way, or the process leaves: its reader hears the close, and its thread gives the place back.
+    fn end(&mut self) {
+        self.ending = true;
+        let _ = self.stream.shutdown(Shutdown::Both);
     }
 }
 
@@ -113,8 +114,7 @@
         if let Some(taken) = state.taken.get_mut(&self.number) {
             taken.idle = Some(Instant::now());
             if leaving && !taken.ending {
-                taken.ending = true;
-                let _ = taken.stream.shutdown(Shutdown::Both);
+                taken.end();
             }
         }
     }
--- a/proxy/src/line.rs
+++ b/proxy/src/line.rs
@@ -9,7 +9,7 @@
 use foldmux_core::desk::{DeskHandle, Notice};
 use foldmux_core::members::Listed;
 use foldmux_core::Core;
-use foldmux_fronts::listen::named;
+use foldmux_fronts::listen::{named, pause};
 use foldmux_operations::call::{Call, Lines};
 use foldmux_operations::maintenance::{Maintenance, Refused};
 use foldmux_operations::stats::{ClassFigures, Figures};
@@ -18,7 +18,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Connections of the operator line at once.
@@ -152,7 +152,8 @@
     pub hand: Arc<Hand>,
     /// A list is in and the process takes clients.
     pub listed: Arc<AtomicBool>,
-    pub leaving: Arc<AtomicBool>,
+    /// Set when the process begins to leave.
+    pub leave_by: Arc<OnceLock<Instant>>,
     pub conf_loaded: AtomicU64,
     pub conf_invalid: AtomicU64,
 }
@@ -181,7 +182,7 @@
 
     /// The answer to one call, its end of line with it.
     pub fn answer(&self, call: Call) -> String {
-        let ready = self.listed.load(Ordering::SeqCst) && !self.leaving.load(Ordering::SeqCst);
+        let ready = self.listed.load(Ordering::SeqCst) && self.leave_by.get().is_none();
         match call {
             Call::Status if ready => "done yes\n".to_string(),
             Call::Status => "done no\n".to_string(),
@@ -222,9 +223,12 @@
         })?;
     }
     named("operator", STACK, move || loop {
-        let Ok((stream, _)) = listener.accept() else {
-            std::thread::sleep(Duration::from_millis(10));
-            continue;
+        let stream = match listener.accept() {
+            Ok((stream, _)) => stream,
+            Err(e) => {
+                std::thread::sleep(pause(&e));
+                continue;
+            }
         };
         if open.fetch_add(1, Ordering::SeqCst) >= PLACES {
             open.fetch_sub(1, Ordering::SeqCst);
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -136,7 +136,6 @@
         }
         None => None,
     };
-    let leaving = Arc::new(AtomicBool::new(false));
     let listed_too = listed.clone();
     let leave_by = Arc::new(OnceLock::new());
     let longest = taken.iter().map(|class| class.longest).max().unwrap_or(0);
@@ -145,7 +144,6 @@
         core: core.clone(),
         classes: RwLock::new(Arc::new(taken)),
         listed,
-        leaving: leaving.clone(),
         nobody: "".into(),
     });
     let retuned = front.clone();
@@ -162,7 +160,7 @@
         core: core.clone(),
         hand,
         listed: listed_too,
-        leaving: leaving.clone(),
+        leave_by: leave_by.clone(),
         conf_loaded: AtomicU64::new(0),
         conf_invalid: AtomicU64::new(0),
     });
@@ -205,13 +203,13 @@
     // SIGKILL comes no earlier than the longest deadline, taken as 3 s where it is longer, and 0.7 s after that.
     let kill = span(longest).min(KILL_AFTER_MOST) + KILL_GRACE - KILL_MARGIN;
     let _ = leave_by.set(Instant::now() + kill);
-    leave(&core, &leaving, &closing, &connections);
+    leave(&core, &closing, &connections);
     Ok(())
 }
 
-/// Reads the configuration again and goes by where it says that the journal service is; whatever else it says
-/// holds from the next start. Guards against a file that can't be used, or names no journal service, costing
-/// the one that there is.
+/// Reads the configuration again: takes its settings and classes, and goes by where it says that the journal
+/// service is; its listen address, limits and seed hold from the next start. Guards against a file that can't be
+/// used, or names no journal service, costing the settings in service or the service that there is.
 fn reload(file: &Path, service: &Service, tune: &mut Classes<Rule>, front: &Front) -> Result<String, String> {
     let config = config::read(file)?;
     let address = config.journal.ok_or("the configuration names no journal service")?;
@@ -292,8 +290,8 @@
 }
 
 /// Serves on for a while, answers what was taken, and returns.
-fn leave(core: &Core, leaving: &AtomicBool, closing: &AtomicBool, connections: &Places) {
-    leaving.store(true, Ordering::SeqCst);
+/// From when `leave_by` is set, the fronts say that the process is not well.
+fn leave(core: &Core, closing: &AtomicBool, connections: &Places) {
     connections.leave();
     let told = Instant::now();
     thread::sleep(TAKE_ON);
