--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -29,7 +29,8 @@
 pub struct Inquiry {
     /// The client's id for it.
     pub via: u64,
-    pub class: usize,
+    /// The class's place in the module's list. A reload gives it to another class only once no one holds it.
+    pub class: Arc<usize>,
     pub class_name: Arc<str>,
     pub object: u64,
     pub part: u32,
@@ -385,7 +386,7 @@
     let tell = Box::new(move |has: bool| {
         let _ = tell.try_send(has);
     });
-    match limiter.enter(inquiry.class, &inquiry.caller, inquiry.front, tell) {
+    match limiter.enter(*inquiry.class, &inquiry.caller, inquiry.front, tell) {
         Entered::Free => Ok(None),
         Entered::In(held) => Ok(Some(held)),
         Entered::Refused { wait } => Err(wait),
@@ -426,7 +427,7 @@
     let deadline = inquiry.arrived + span(inquiry.budget);
     Ask {
         id,
-        class: inquiry.class,
+        class: *inquiry.class,
         object: ObjectId(inquiry.object),
         part: inquiry.part,
         group: inquiry.group,
--- a/core/tests/limits.rs
+++ b/core/tests/limits.rs
@@ -115,7 +115,7 @@
             for id in 1..=REQUESTS {
                 let inquiry = Inquiry {
                     via: id,
-                    class: (id % 3) as usize,
+                    class: ((id % 3) as usize).into(),
                     class_name: "any".into(),
                     object: id % 50,
                     part: 0,
--- a/fronts/extproc/benches/decide.rs
+++ b/fronts/extproc/benches/decide.rs
@@ -12,7 +12,7 @@
 use foldmux_extproc::pb::{
     HeaderMap, HeaderValue, HttpBody, HttpHeaders, ProcessingRequest, Request, Response,
 };
-use foldmux_fronts::dns::server::Bound as Dns;
+use foldmux_fronts::dns::{server::Bound as Dns, Routed};
 use foldmux_operator::Dns as Setup;
 use foldmux_standins::caller::hold;
 use foldmux_store::Commit;
@@ -79,7 +79,7 @@
 fn inquiry() -> Inquiry {
     Inquiry {
         via: 0,
-        class: 0,
+        class: 0.into(),
         class_name: "sheet".into(),
         object: 0xaa,
         part: 0,
@@ -250,7 +250,9 @@
     };
     let bound = Dns::new(setup).unwrap();
     let names = bound.addresses()[0].unwrap();
-    let classes = vec![("sheet".into(), false), ("record".into(), true)];
+    let routed =
+        |place: usize, name: &str| Routed { name: name.into(), place: place.into(), writes: place == 1 };
+    let classes = vec![routed(0, "sheet"), routed(1, "record")];
     bound.serve(front.core.clone(), classes, Arc::default(), 64).unwrap();
     for (streams, rate) in [(1, 500.0), (8, 2_000.0), (64, 4_000.0), (512, 4_000.0)] {
         print("bare desk", streams, rate, &bare(&front, streams, rate));
--- a/fronts/extproc/src/life.rs
+++ b/fronts/extproc/src/life.rs
@@ -38,6 +38,8 @@
 #[derive(Clone, Debug)]
 pub struct Class {
     pub name: Arc<str>,
+    /// Its place among the module's classes, held as long as this front is.
+    pub place: Arc<usize>,
     pub repeat: Repeat,
     /// For keyed classes: how long the archive drops a repeat (us).
     pub window: Time,
@@ -209,9 +211,9 @@
         let why = no.to_string();
         match no {
             No::Token(_) | No::Ledger(Refusal::OtherKey) => Final::unusable(&why, Ran::Maybe),
-            No::Ledger(Refusal::WindowOver | Refusal::TooMany | Refusal::Torn | Refusal::Replayed) => {
-                Final::given_up(&why, Ran::Maybe)
-            }
+            No::Ledger(
+                Refusal::WindowOver | Refusal::TooMany | Refusal::Torn | Refusal::Replayed,
+            ) => Final::given_up(&why, Ran::Maybe),
             No::Ledger(Refusal::Running { .. }) => Final::refused(&why, Ran::Maybe, wait),
             No::Ledger(Refusal::Deciding | Refusal::Full) | No::Store(_) | No::NotLoaded => {
                 Final::refused(&why, ran, wait)
@@ -256,14 +258,14 @@
         let mut attempt = match kept {
             Some(kept) if kept.class == asked.class => Attempt { grip, number, ..kept },
             _ => {
-                let limits = self.admit(asked.class, caller, ran).await?;
+                let limits = self.admit(*class.place, caller, ran).await?;
                 let until = limits.as_ref().map(|held| held.deadline(arrived));
                 let most = until.map(|until| until.saturating_duration_since(arrived).as_micros() as Time);
                 let budget = most.map_or(budget, |most| most.min(budget));
                 let serial = self.serial.fetch_add(1, Ordering::Relaxed);
                 let inquiry = Inquiry {
                     via: self.salt ^ serial,
-                    class: asked.class,
+                    class: class.place.clone(),
                     class_name: class.name.clone(),
                     object: asked.object,
                     part: asked.part,
--- a/fronts/extproc/tests/common/mod.rs
+++ b/fronts/extproc/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! The helper of the front's tests: instances of it in this process, on loopback, over stand-in caches.
 #![allow(dead_code)]
 
+pub mod talk;
+
 use foldmux::interface::{CacheId, Class, Member, Outcome, Repeat, State};
 use foldmux::Router;
 use foldmux_core::attempt::{Attempt, Got, Tries};
@@ -105,9 +107,10 @@
         origin: SocketAddr,
     ) -> Instance {
         let decoded = foldmux_settings::parse(SETTINGS).unwrap();
-        let classes = decoded.classes.iter().zip(&decoded.settings.classes);
-        let class = |(name, class): (&String, &Class)| life::Class {
+        let classes = decoded.classes.iter().zip(&decoded.settings.classes).enumerate();
+        let class = |(place, (name, class)): (usize, (&String, &Class))| life::Class {
             name: name.as_str().into(),
+            place: place.into(),
             repeat: class.repeat,
             window: class.repeat_window,
             longest: class.deadline,
--- a/fronts/src/dns/mod.rs
+++ b/fronts/src/dns/mod.rs
@@ -31,11 +31,18 @@
 /// "No Reachable Authority": the module found no cache that may take it.
 pub const EDE_UNREACHABLE: u16 = 22;
 
+/// A class as names route it.
+pub struct Routed {
+    pub name: Arc<str>,
+    /// Its place among the module's classes, held as long as this front is.
+    pub place: Arc<usize>,
+    pub writes: bool,
+}
+
 pub struct Dns {
     pub core: Arc<Core>,
     pub zone: Name,
-    /// By class: its name, and whether it writes.
-    pub classes: Vec<(Arc<str>, bool)>,
+    pub classes: Vec<Routed>,
     /// How long a client may use an answer (us).
     pub lease: Time,
     /// How long a query may take (us).
@@ -120,10 +127,10 @@
             Asked::Unknown => Reply::no(ResponseCode::NXDomain, None),
             Asked::Node(member) => self.node(query, &member),
             Asked::Part { class, object, part } => {
-                let Some(class) = self.classes.iter().position(|(name, _)| **name == *class) else {
+                let Some(class) = self.classes.iter().find(|routed| *routed.name == *class) else {
                     return Reply::no(ResponseCode::NXDomain, None);
                 };
-                if self.classes[class].1 {
+                if class.writes {
                     // Guards against a write that runs twice: resolvers repeat queries as they see fit.
                     let why = "a write is not routed by name";
                     return Reply::no(ResponseCode::Refused, Some((EDE_PROHIBITED, why)));
@@ -133,15 +140,15 @@
         }
     }
 
-    fn part(&self, query: &Query, class: usize, object: u64, part: u32) -> Reply {
+    fn part(&self, query: &Query, class: &Routed, object: u64, part: u32) -> Reply {
         let wanted = [RecordType::A, RecordType::AAAA, RecordType::SRV, RecordType::TXT];
         if !wanted.contains(&query.query_type()) {
             return Reply::answers(Vec::new());
         }
         let inquiry = Inquiry {
             via: 0,
-            class,
-            class_name: self.classes[class].0.clone(),
+            class: class.place.clone(),
+            class_name: class.name.clone(),
             object,
             part,
             group: 0,
--- a/fronts/src/dns/server.rs
+++ b/fronts/src/dns/server.rs
@@ -1,7 +1,7 @@
 //! The DNS front's sockets: UDP, TCP and DNS over TLS, set up by the operator's file.
 
 use super::notify::Notifier;
-use super::Dns as Front;
+use super::{Dns as Front, Routed};
 use crate::listen::{accept, named, READER_STACK};
 use crate::places::{Place, Places};
 use crossbeam_channel::bounded;
@@ -92,7 +92,7 @@
     pub fn serve(
         self,
         core: Arc<Core>,
-        classes: Vec<(Arc<str>, bool)>,
+        classes: Vec<Routed>,
         serial: Arc<AtomicU32>,
         most: usize,
     ) -> Result<(), String> {
--- a/fronts/src/msgpack/mod.rs
+++ b/fronts/src/msgpack/mod.rs
@@ -35,8 +35,8 @@
 #[derive(Clone)]
 pub struct Taken {
     pub name: Arc<str>,
-    /// Its place among the module's classes.
-    pub place: usize,
+    /// Its place among the module's classes, held as long as it may be named here.
+    pub place: Arc<usize>,
     /// Its requests carry an idempotency key.
     pub keyed: bool,
     /// The longest that a client waits for one.
@@ -128,7 +128,6 @@
         let Some(taken) = classes.iter().find(|c| *c.name == *call.method) else {
             return self.unusable(connection, id, "no such class");
         };
-        let class = taken.place;
         let asked = match call.asked {
             Ok(asked) if taken.keyed && asked.token.is_none() => Err("no idempotency key"),
             asked => asked,
@@ -161,7 +160,7 @@
         }
         let inquiry = Inquiry {
             via: asked.via,
-            class,
+            class: taken.place.clone(),
             class_name: taken.name.clone(),
             object: asked.object,
             part: asked.part,
--- a/proxy/src/journal.rs
+++ b/proxy/src/journal.rs
@@ -246,11 +246,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// A service that stays where it is keeps its poll.
-    pub fn move_to(&self, address: SocketAddr) {
+    /// A service that stays where it is keeps its poll; without one the list stays as it is.
+    pub fn move_to(&self, address: Option<SocketAddr>) {
         let mut place = self.state();
-        if place.address != Some(address) {
-            (place.address, place.moves) = (Some(address), place.moves + 1);
+        if place.address != address {
+            (place.address, place.moves) = (address, place.moves + 1);
             place.hang_up();
             self.moved.notify_all();
         }
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -15,7 +15,7 @@
 use foldmux_core::{Core, Desk};
 use foldmux_extproc::life::Class as Processed;
 use foldmux_extproc::serve::{Bound as Processor, Serving};
-use foldmux_fronts::dns::server::Bound;
+use foldmux_fronts::dns::{server::Bound, Routed};
 use foldmux_fronts::listen::{accept_until, named, shared, READER_STACK};
 use foldmux_fronts::msgpack::{Front, Taken};
 use foldmux_fronts::places::Places;
@@ -54,8 +54,9 @@
     let bounds = config.bounds;
     let decoded = config.decoded;
     let (own_file, operator) = operator.map_or((None, Operator::default()), |(file, o)| (Some(file), o));
+    let mut tune = Classes::new(rules(&decoded)).map_err(|refused| format!("configuration: {refused}"))?;
     let dns = operator.dns.map(Bound::new).transpose()?;
-    let processor = operator.ext_proc.map(|setup| Processor::new(setup, processed(&decoded))).transpose()?;
+    let processor = operator.ext_proc.map(|setup| Processor::new(setup, processed(&tune))).transpose()?;
     let zones = Zones {
         names: decoded.zones.clone(),
         own: decoded.settings.zone,
@@ -67,9 +68,7 @@
     let shed_wait = decoded.settings.retry_after.map_or(0, |longest| SHED_WAIT.min(longest));
     let cold_for = decoded.settings.cache_cold_for.max(decoded.settings.parent_cold_for);
     let classes: Vec<Arc<str>> = decoded.classes.iter().map(|c| c.as_str().into()).collect();
-    let mut tune = Classes::new(rules(&decoded)).map_err(|refused| format!("configuration: {refused}"))?;
     let taken = served(&tune);
-    let writes: Vec<bool> = decoded.settings.classes.iter().map(|c| c.pass_on).collect();
     let attempts = decoded.settings.max_attempts;
     let account = limits::account(&decoded, config.limits[0], config.limits[1]);
     let limited = operator
@@ -92,13 +91,14 @@
     let buffers = Buffers::new(bounds.buffers);
     let (tries, most) = (Box::new(upstream), bounds.open);
     let core = Core::new(handle.clone(), clock.clone(), buffers, members, tries, shed_wait, cold_for, most);
+    // Limits go by the places of the start's classes: no other class may take one.
+    let _limited_places = limited.is_some().then(|| taken.clone());
     if let Some(table) = limited {
         let _ = core.limits.set(Limiter::new(table, clock.clone(), own_zone, repeats));
     }
     if let Some(mut dns) = dns {
         let serial = dns.notify(&mut desk)?;
-        let classes = classes.iter().cloned().zip(writes).collect();
-        dns.serve(core.clone(), classes, serial, bounds.dns)?;
+        dns.serve(core.clone(), routed(&tune), serial, bounds.dns)?;
     }
     let desk = named("desk", 512 * 1024, move || desk.run())?;
 
@@ -181,19 +181,18 @@
         std::process::exit(3);
     })?;
     for _ in signals.forever().take_while(|signal| *signal == SIGHUP) {
-        let told = |result: Result<String, String>| result.unwrap_or_else(|e| e + "; all stays as it was");
         let reloaded = reload(file, &service, &mut tune, &retuned);
         let count = if reloaded.is_ok() { &sources.conf_loaded } else { &sources.conf_invalid };
         count.fetch_add(1, Ordering::Relaxed);
-        tracing::info!("reload: {}", told(reloaded));
+        tell("reload", reloaded);
         if let (Some(live), Some(own_file)) = (&mut live, own_file) {
-            tracing::info!("rewire: {}", told(rewire(own_file, live)));
+            tell("rewire", rewire(own_file, live));
         }
         if let (Some(limiter), Some(own_file)) = (core.limits.get(), own_file) {
-            tracing::info!("limits: {}", told(relimit(own_file, &account, limiter)));
+            tell("limits", relimit(own_file, &account, limiter));
         }
         if let (Some(serving), Some(own_file)) = (&processor, own_file) {
-            tracing::info!("token keys: {}; {}", told(rekey(own_file, serving)), serving.line());
+            tell("token keys", rekey(own_file, serving).map(|keys| format!("{keys}; {}", serving.line())));
         }
     }
     if let Some(mut serving) = processor.take() {
@@ -207,49 +206,62 @@
     Ok(())
 }
 
+/// What a part of a reload came to. One that was refused is a warning: staff who filter at that level must see it.
+fn tell(part: &str, came: Result<String, String>) {
+    match came {
+        Ok(taken) => tracing::info!("{part}: {taken}"),
+        Err(why) => tracing::warn!("{part}: {why}; all stays as it was"),
+    }
+}
+
 /// Reads the configuration again: takes its settings and classes, and goes by where it says that the journal
 /// service is; its listen address, limits and seed hold from the next start. Guards against a file that can't be
-/// used, or names no journal service, costing the settings in service or the service that there is.
-fn reload(file: &Path, service: &Service, tune: &mut Classes<Rule>, front: &Front) -> Result<String, String> {
+/// used costing the settings in service or the service that there is. One that names no journal service is taken as at
+/// the start: the list stays as it is.
+fn reload(
+    file: &Path,
+    service: &Service,
+    tune: &mut Classes<Class>,
+    front: &Front,
+) -> Result<String, String> {
     let config = config::read(file)?;
-    let address = config.journal.ok_or("the configuration names no journal service")?;
     let mut settings = config.decoded.settings.clone();
     tune.take(rules(&config.decoded)).map_err(|refused| format!("configuration: {refused}"))?;
-    settings.classes = tune.all().map(|rule| rule.0.clone()).collect();
+    settings.classes = tune.all().cloned().collect();
     // The module knows the new places before any client can name them.
     front.core.desk.tell(Notice::Retuned(Box::new(settings)));
     let taken = served(tune);
     taken.iter().for_each(|class| front.core.tally.know(&class.name));
     *front.classes.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(taken);
-    service.move_to(address);
-    let names: Vec<&str> = tune.named().iter().map(|(name, _)| name.as_str()).collect();
-    Ok(format!("classes {}; the journal service is at {address}", names.join(", ")))
-}
-
-/// A class's rules, the same where their every value is.
-#[derive(Clone)]
-struct Rule(Class, String);
-
-impl PartialEq for Rule {
-    fn eq(&self, other: &Rule) -> bool {
-        self.1 == other.1
-    }
+    service.move_to(config.journal);
+    let names: Vec<&str> = tune.named().map(|(name, ..)| name).collect();
+    let at = config.journal.map_or("no journal service: the list stays as it is".to_string(), |address| {
+        format!("the journal service is at {address}")
+    });
+    Ok(format!("classes {}; {at}", names.join(", ")))
 }
 
-fn rules(decoded: &foldmux_settings::Decoded) -> Vec<(String, Rule)> {
-    let rule = |(name, class): (&String, &Class)| (name.clone(), Rule(class.clone(), format!("{class:?}")));
-    decoded.classes.iter().zip(&decoded.settings.classes).map(rule).collect()
+fn rules(decoded: &foldmux_settings::Decoded) -> Vec<(String, Class)> {
+    decoded.classes.iter().cloned().zip(decoded.settings.classes.iter().cloned()).collect()
 }
 
 /// The classes that the front takes by name, each at its place.
-fn served(tune: &Classes<Rule>) -> Vec<Taken> {
-    let all: Vec<&Rule> = tune.all().collect();
-    let one = |(name, place): &(String, usize)| {
-        let class = &all[*place].0;
+fn served(tune: &Classes<Class>) -> Vec<Taken> {
+    let one = |(name, place, class): (&str, &Arc<usize>, &Class)| {
         let keyed = matches!(class.repeat, Repeat::Keyed(_));
-        Taken { name: name.as_str().into(), place: *place, keyed, longest: class.deadline }
+        Taken { name: name.into(), place: place.clone(), keyed, longest: class.deadline }
+    };
+    tune.named().map(one).collect()
+}
+
+/// The classes as the DNS front routes them by name.
+fn routed(tune: &Classes<Class>) -> Vec<Routed> {
+    let one = |(name, place, class): (&str, &Arc<usize>, &Class)| Routed {
+        name: name.into(),
+        place: place.clone(),
+        writes: class.pass_on,
     };
-    tune.named().iter().map(one).collect()
+    tune.named().map(one).collect()
 }
 
 /// Reads the operator's file again and takes its tree. Whatever else it says holds from the next start.
@@ -279,14 +291,15 @@
 }
 
 /// The classes, as the external processor serves them.
-pub fn processed(decoded: &foldmux_settings::Decoded) -> Vec<Processed> {
-    let class = |(name, class): (&String, &Class)| Processed {
-        name: name.as_str().into(),
+fn processed(tune: &Classes<Class>) -> Vec<Processed> {
+    let class = |(name, place, class): (&str, &Arc<usize>, &Class)| Processed {
+        name: name.into(),
+        place: place.clone(),
         repeat: class.repeat,
         window: class.repeat_window,
         longest: class.deadline,
     };
-    decoded.classes.iter().zip(&decoded.settings.classes).map(class).collect()
+    tune.named().map(class).collect()
 }
 
 /// Serves on for a while, answers what was taken, and returns.
--- a/proxy/tests/days.rs
+++ b/proxy/tests/days.rs
@@ -24,6 +24,17 @@
     }
 }
 
+impl Running {
+    /// What the log says of a reload of `file` with this text.
+    fn reload(&self, file: &std::path::Path, text: &str) -> String {
+        std::fs::write(file, text).unwrap();
+        let id = self.child.id().to_string();
+        assert!(std::process::Command::new("kill").args(["-HUP", &id]).status().unwrap().success());
+        let mut lines = std::iter::from_fn(|| self.log.recv_timeout(PATIENCE).ok());
+        lines.find(|line| line.contains("reload: ")).unwrap()
+    }
+}
+
 /// Starts the program on `config`, its client address overridden by `listen` where given.
 fn start(config: &std::path::Path, listen: Option<SocketAddr>) -> Result<Running, String> {
     start_in(config, listen, None)
@@ -174,14 +185,7 @@
     let (file, caches, journal) = configured("retune");
     let running = start(&file, None).unwrap();
     let good = common::config(caches.local_addr().unwrap(), journal.local_addr().unwrap());
-    let hup = |text: &str| {
-        std::fs::write(&file, text).unwrap();
-        let id = running.child.id().to_string();
-        assert!(std::process::Command::new("kill").args(["-HUP", &id]).status().unwrap().success());
-        std::iter::from_fn(|| running.log.recv_timeout(PATIENCE).ok())
-            .find(|l| l.contains("reload: "))
-            .unwrap()
-    };
+    let hup = |text: &str| running.reload(&file, text);
     let broken = [
         String::new(),
         good[..good.len() / 2].to_string(),
@@ -190,7 +194,9 @@
         good.replace("\"maxAttempts\":4", "\"maxAttempts\":0"),
     ];
     for text in &broken {
-        assert!(hup(text).ends_with("all stays as it was"), "{text}");
+        let said = hup(text);
+        assert!(said.ends_with("all stays as it was"), "{text}");
+        assert!(said.contains("WARN"), "staff who filter at WARN must see it: {said}");
     }
     let stats = call(running.operator, b"stats\n");
     assert!(
@@ -214,3 +220,43 @@
     drop(running);
     let _ = std::fs::remove_file(file);
 }
+
+#[test]
+fn a_configuration_without_a_journal_service_is_taken_at_sighup_as_at_the_start() {
+    let (file, caches, journal) = configured("nowhere");
+    let whole = common::config(caches.local_addr().unwrap(), journal.local_addr().unwrap());
+    let named = format!("\"journal\":\"{}\",", journal.local_addr().unwrap());
+    let without = whole.replace(&named, "");
+    assert_ne!(without, whole);
+    std::fs::write(&file, &without).unwrap();
+    let running = start(&file, None).unwrap();
+    assert_eq!(call(running.operator, b"status\n"), "done yes\n");
+    let said = running.reload(&file, &without);
+    assert!(said.ends_with("no journal service: the list stays as it is"), "{said}");
+    // Named at a later reload, it is asked from then on.
+    let said = running.reload(&file, &whole);
+    assert!(said.contains("the journal service is at"), "{said}");
+    let (mut asks, _) = journal.accept().unwrap();
+    let mut begin = [0; 12];
+    asks.read_exact(&mut begin).unwrap();
+    assert_eq!(&begin, b"GET /journal");
+    let stats = call(running.operator, b"stats\n");
+    assert!(stats.contains("proxy.conf_loaded:2|c\nproxy.conf_invalid:0|c\n"), "{stats}");
+    drop(running);
+    let _ = std::fs::remove_file(file);
+}
+
+#[test]
+fn seventy_retunes_of_a_changing_class_are_all_taken() {
+    let (file, caches, journal) = configured("seventy");
+    let running = start(&file, None).unwrap();
+    let good = common::config(caches.local_addr().unwrap(), journal.local_addr().unwrap());
+    for n in 1..=70 {
+        let other = good.replace("\"hardLimit\":30000000", &format!("\"hardLimit\":{}", 30_000_000 + n));
+        assert_ne!(other, good);
+        let said = running.reload(&file, &other);
+        assert!(said.contains("classes sheet, record"), "retune {n}: {said}");
+    }
+    drop(running);
+    let _ = std::fs::remove_file(file);
+}
--- a/proxy/tests/dns.rs
+++ b/proxy/tests/dns.rs
@@ -8,7 +8,7 @@
 use foldmux_core::desk::{DeskHandle, Notice};
 use foldmux_core::members::{Listed, Members};
 use foldmux_core::{Core, Desk};
-use foldmux_fronts::dns::server::Bound;
+use foldmux_fronts::dns::{server::Bound, Routed};
 use foldmux_operator::script::evaluate;
 use foldmux_standins::issuer::{Authority, Svid};
 use foldmux_upstream::{pool::Pool, Upstream};
@@ -51,7 +51,9 @@
     );
     let mut bound = Bound::new(evaluate("dns.star", setup).unwrap().dns.unwrap()).unwrap();
     let (at, serial) = (bound.addresses(), bound.notify(&mut desk).unwrap());
-    let classes = vec![("sheet".into(), false), ("record".into(), true)];
+    let routed =
+        |place: usize, name: &str| Routed { name: name.into(), place: place.into(), writes: place == 1 };
+    let classes = vec![routed(0, "sheet"), routed(1, "record")];
     bound.serve(core, classes, serial, 8).unwrap();
     std::thread::spawn(move || desk.run());
     let rig = Rig { desk: handle, clock, at, zone: zone.to_string() };
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -339,9 +339,12 @@
 }
 
 impl Router {
-    /// Other settings, all at once. Their classes keep the places of the old ones: open requests keep theirs.
+    /// Other settings, all at once. A class that open requests have keeps its place; a place under other rules is
+    /// another class's, whose sizes are not known yet.
     pub fn retune(&mut self, settings: Settings) {
-        self.class_work.resize(settings.classes.len().max(self.class_work.len()), 0.0);
+        let same = |k: usize| self.settings.classes.get(k) == settings.classes.get(k);
+        let work = |k: usize| if same(k) { self.class_work[k] } else { 0.0 };
+        self.class_work = (0..settings.classes.len()).map(work).collect();
         self.settings = settings;
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -39,7 +39,7 @@
     }
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// An answer within this time, plus `aim_stretch` times the sending time, has its full worth.
     pub aim: Time,
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -330,3 +330,32 @@
     front.event(Event::Wired { hubs, hub_of });
     assert_eq!(sources(&mut front, 200..260), [30, 31]);
 }
+
+#[test]
+fn a_place_that_a_retune_gives_to_another_class_starts_without_the_former_s_sizes() {
+    let sent_to_cold = |retune: bool| {
+        let mut front = Front::new(settings(), members());
+        for k in 0..400 {
+            front.serve(k, Note::Hit);
+        }
+        // The class that had the place: requests a hundred times the size.
+        for k in 0..300 {
+            let (id, _) = front.request_of(1, k, 50_000.0);
+            front.event(Event::ClientGone { id });
+        }
+        if retune {
+            let mut other = settings();
+            other.classes[1] = Class { aim: 300 * MS, ..other.classes[0].clone() };
+            front.router.retune(other);
+        }
+        let boot = front.now;
+        front.change(10, |m| m.boot = boot);
+        let of = |f: &Fetch| f.cache.0 == 10;
+        (1000..1100).map(|k| fetches(&front.request(1, k).1).into_iter().filter(of).count()).sum::<usize>()
+    };
+    let (kept, given) = (sent_to_cold(false), sent_to_cold(true));
+    assert!(
+        given > kept,
+        "as light as it is, it has room at a cold cache: {given}, and {kept} with old sizes"
+    );
+}
