Fence off unreadable ledger entries; let the demo's audit be seen to count

Such a key is now fenced off for remember_ms (Ledger::fence); a key that is not of 16 bytes refuses the start, found late it keeps the ledger shut. - The audit 'beside a running one' could not count. AfterSend is a point of its own now.

--- a/demo/src/extproc.rs
+++ b/demo/src/extproc.rs
@@ -260,10 +260,15 @@
 
 /// What the calling proxy does to a request's attempt.
 fn play(seed: u64, number: u64, attempt: u32) -> Play {
-    const POINTS: [Point; 4] =
-        [Point::BeforeAnswer, Point::BetweenAnswerAndSend, Point::DuringSend, Point::AfterResponseHeaders];
+    const POINTS: [Point; 5] = [
+        Point::BeforeAnswer,
+        Point::BetweenAnswerAndSend,
+        Point::DuringSend,
+        Point::AfterSend,
+        Point::AfterResponseHeaders,
+    ];
     let chance = draw(seed, &[number, attempt as u64, 7]);
-    let point = POINTS[(chance >> 20) as usize % 4];
+    let point = POINTS[(chance >> 20) as usize % POINTS.len()];
     match chance % 100 {
         0..=3 => Play { leave: Some(point), ..Play::default() },
         4..=15 => Play { reset: Some(point), ..Play::default() },
@@ -272,8 +277,21 @@
     }
 }
 
-/// Plays a run against the program. `folder`: an empty one, for its files; `slowest`: the archive's work takes less (ms).
-pub fn run(program: &Path, folder: &Path, requests: u64, seed: u64, slowest: u64) -> Result<Report, String> {
+/// What a run is made of.
+#[derive(Clone, Copy, Debug)]
+pub struct Trial {
+    pub requests: u64,
+    pub seed: u64,
+    /// The archive's work takes less (ms).
+    pub slowest: u64,
+    /// Plants a fault, by which the audit is seen to count: the caller shows no tokens, so that an instance can't know
+    /// of an attempt that another handed out.
+    pub forgets: bool,
+}
+
+/// Plays a run against the program. `folder`: an empty one, for its files.
+pub fn run(program: &Path, folder: &Path, trial: Trial) -> Result<Report, String> {
+    let Trial { requests, seed, slowest, forgets } = trial;
     let (archive, late) = (Guarded::new(WINDOW), Arc::new(AtomicU64::new(0)));
     let caches: Vec<Source> =
         (0..2).map(|cell| cache(cell, archive.clone(), late.clone(), seed, slowest)).collect();
@@ -286,6 +304,7 @@
         message: Duration::from_secs(3),
         attempt: Duration::from_millis(1_500),
         play: Box::new(move |number, attempt| play(seed, number, attempt)),
+        forgets,
         ..Setup::plain(addresses)
     };
     let caller = Caller::new(setup);
--- a/demo/src/main.rs
+++ b/demo/src/main.rs
@@ -2,6 +2,7 @@
 //! proxies and hubs over stand-ins, on loopback. Traffic runs, hubs are turned toward each other and back while each
 //! node is told at another moment, objects are purged; then a table, and a verdict by exit code.
 
+use foldmux_demo::extproc::Trial;
 use foldmux_standins::cache::Cache;
 use foldmux_standins::client;
 use foldmux_standins::journal::{hosts, purged, Host, Journal};
@@ -163,7 +164,8 @@
 /// The external processor behind a proxy that cancels at random.
 fn process(program: &Path, folder: &Path) -> Result<bool, String> {
     let began = Instant::now();
-    let report = foldmux_demo::extproc::run(program, folder, 20_000, unix_ms(), 50)?;
+    let trial = Trial { requests: 20_000, seed: unix_ms(), slowest: 50, forgets: false };
+    let report = foldmux_demo::extproc::run(program, folder, trial)?;
     println!("{report}\n{:.1} s", began.elapsed().as_secs_f64());
     Ok(report.sound())
 }
--- a/fronts/extproc/src/check.rs
+++ b/fronts/extproc/src/check.rs
@@ -33,10 +33,15 @@
         let client = ExternalProcessorClient::connect(format!("http://{address}")).await;
         let mut client = client.map_err(|e| format!("{address}: {e}"))?;
         let answers = client.process(tokio_stream::once(first)).await;
-        let answer = answers.map_err(|e| told(address, &e))?.into_inner().message().await;
-        answer
-            .map_err(|e| told(address, &e))?
-            .ok_or_else(|| format!("{address}: it ended without a decision"))
+        let mut answers = answers.map_err(|e| told(address, &e))?.into_inner();
+        loop {
+            let answer = answers.message().await.map_err(|e| told(address, &e))?;
+            let answer = answer.ok_or_else(|| format!("{address}: it ended without a decision"))?;
+            // A front that is slow asks for more time first; the decision follows.
+            if answer.response.is_some() || answer.override_message_timeout.is_none() {
+                return Ok::<_, String>(answer);
+            }
+        }
     };
     let decision = block_on(async { timeout(PATIENCE, decision).await });
     let response = decision?.map_err(|_| format!("{address}: no decision within {PATIENCE:?}"))??;
--- a/fronts/extproc/src/keyed.rs
+++ b/fronts/extproc/src/keyed.rs
@@ -95,12 +95,14 @@
 
 impl Keeper {
     /// Without an opener there is no ledger, and no keyed request is placed. The last of the keys signs; without any,
-    /// one is drawn that only this process knows.
+    /// one is drawn that only this process knows. An entry that can't be read fences its key off for `remember`; a file with
+    /// keys that are none of this program's is refused.
     pub fn start(
         opener: Option<(Opener, Commit)>,
         most: usize,
         keys: &[Secret],
         overlap: Millis,
+        remember: Millis,
     ) -> Result<Keeper, String> {
         let mut drawn = [0; 32];
         getrandom::fill(&mut drawn).map_err(|e| format!("a key for tokens: {e}"))?;
@@ -112,19 +114,29 @@
         let store = opener.map(|(opener, commit)| {
             Store::start(opener, commit, move |stored| {
                 let now = unix_ms();
-                let mut unread = 0;
-                let entries: Vec<(Mark, Entry)> = stored
-                    .into_iter()
-                    .filter_map(|(key, value)| {
-                        let mark = <[u8; 16]>::try_from(key.as_slice()).ok().map(Mark);
-                        let read = mark.zip(Entry::from_bytes(&value));
-                        unread += read.is_none() as usize;
-                        read
-                    })
-                    .filter(|(_, entry)| entry.forget_at > now)
-                    .collect();
-                tracing::info!("ledger: {} keys held, {unread} entries can't be read", entries.len());
-                lock(&own).ledger = Some(Ledger::restored(most, entries));
+                let (mut entries, mut unread) = (Vec::new(), Vec::new());
+                for (key, value) in stored {
+                    let mark = <[u8; 16]>::try_from(key.as_slice()).map(Mark);
+                    // Whose entry it is can't be told: to go on would be to forget it.
+                    let mark =
+                        mark.map_err(|_| format!("a key of {} bytes, and 16 are its own", key.len()))?;
+                    match Entry::from_bytes(&value) {
+                        Some(entry) if entry.forget_at <= now => {}
+                        Some(entry) => entries.push((mark, entry)),
+                        None => unread.push(mark),
+                    }
+                }
+                tracing::info!("ledger: {} keys held", entries.len());
+                if !unread.is_empty() {
+                    let n = unread.len();
+                    tracing::warn!(
+                        "ledger: {n} entries can't be read; their keys are refused for {remember} ms"
+                    );
+                }
+                let mut ledger = Ledger::restored(most, entries);
+                unread.into_iter().for_each(|mark| ledger.fence(mark, now.saturating_add(remember)));
+                lock(&own).ledger = Some(ledger);
+                Ok(())
             })
         });
         Ok(Keeper { state, store: store.transpose()?, counts: Counts::default() })
@@ -186,9 +198,11 @@
                     Refusal::Running { .. } | Refusal::Deciding => &self.counts.running,
                     Refusal::Replayed => &self.counts.replayed,
                     Refusal::Full => &self.counts.full,
-                    Refusal::WindowOver | Refusal::TooMany | Refusal::Torn | Refusal::OtherKey => {
-                        &self.counts.given_up
-                    }
+                    Refusal::WindowOver
+                    | Refusal::TooMany
+                    | Refusal::Torn
+                    | Refusal::OtherKey
+                    | Refusal::Unread => &self.counts.given_up,
                 };
                 count.fetch_add(1, Ordering::Relaxed);
                 Err(No::Ledger(refusal))
--- a/fronts/extproc/src/serve.rs
+++ b/fronts/extproc/src/serve.rs
@@ -59,6 +59,11 @@
     keeper: Arc<Keeper>,
 }
 
+/// For how long after a key's last attempt its repeat may come (ms).
+fn remember(setup: &ExtProc) -> u64 {
+    setup.ledger.as_ref().map_or(60_000, |ledger| ledger.remember_ms)
+}
+
 /// The store under the ledger, as the file sets it.
 fn opener(setup: &ExtProc) -> Option<(Opener, Commit)> {
     let ledger = setup.ledger.as_ref()?;
@@ -96,7 +101,8 @@
         let secrets: Vec<(u8, &[u8])> =
             setup.keys.iter().map(|key| (key.number, key.secret.as_bytes())).collect();
         let most = setup.ledger.as_ref().map_or(0, |ledger| ledger.entries as usize);
-        let keeper = Keeper::start(store, most, &secrets, setup.overlap_ms);
+        let remember = remember(&setup);
+        let keeper = Keeper::start(store, most, &secrets, setup.overlap_ms, remember);
         let keeper = Arc::new(keeper.map_err(|e| told(format!("ledger: {e}")))?);
         Ok(Bound { setup, listener, identity, map, classes, keeper })
     }
@@ -124,7 +130,7 @@
             idle: us(setup.idle_ms),
             again: setup.again,
             strict: setup.strict,
-            remember: setup.ledger.as_ref().map_or(60_000, |ledger| ledger.remember_ms),
+            remember: remember(&setup),
             attempts: attempts.max(1),
             streams,
             open: AtomicUsize::new(0),
--- a/repeats/src/ledger.rs
+++ b/repeats/src/ledger.rs
@@ -42,6 +42,8 @@
     TooMany,
     /// Attempts at two instances may have run, in two groups.
     Torn,
+    /// What was written of this key can't be read: an attempt may have run, and nothing more is known of it.
+    Unread,
     /// The token is of an attempt that another has followed.
     Replayed,
     /// The token is of another key.
@@ -64,6 +66,7 @@
             Refusal::WindowOver => f.write_str("an attempt may have run, and a repeat would run again"),
             Refusal::TooMany => f.write_str("all attempts are used"),
             Refusal::Torn => f.write_str("attempts may have run in two groups"),
+            Refusal::Unread => f.write_str("what was written of this key can't be read"),
             Refusal::Replayed => f.write_str("the token's attempt has been followed by another"),
             Refusal::OtherKey => f.write_str("the token is of another key"),
             Refusal::Full => f.write_str("the ledger of keyed attempts is full"),
@@ -147,6 +150,8 @@
 pub struct Ledger {
     most: usize,
     entries: HashMap<Mark, Entry>,
+    /// Keys whose entries a store held and that can't be read: fenced off until their repeats can come no more.
+    unread: HashSet<Mark>,
     /// When each is forgotten, soonest first.
     ends: BTreeSet<(Millis, Mark)>,
     /// Keys whose next attempt is being placed: asked about, and neither handed out nor let go yet.
@@ -160,6 +165,7 @@
         Ledger {
             most,
             entries: HashMap::new(),
+            unread: HashSet::new(),
             ends: BTreeSet::new(),
             asked: HashSet::new(),
             forgotten: Vec::new(),
@@ -173,12 +179,18 @@
         ledger
     }
 
+    /// Fences off a key of which a store held something that can't be read. `until`: when its repeat can come no more.
+    pub fn fence(&mut self, key: Mark, until: Millis) {
+        self.unread.insert(key);
+        self.ends.insert((until, key));
+    }
+
     pub fn len(&self) -> usize {
-        self.entries.len()
+        self.entries.len() + self.unread.len()
     }
 
     pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
+        self.len() == 0
     }
 
     /// How many keys are being placed.
@@ -214,6 +226,7 @@
         while let Some(&(at, old)) = self.ends.first().filter(|(at, _)| *at <= now) {
             self.ends.remove(&(at, old));
             self.entries.remove(&old);
+            self.unread.remove(&old);
             self.forgotten.push(old);
         }
         // Guards against two requests that ask at the same moment both being told to go.
@@ -233,13 +246,16 @@
     /// Entries, and keys that are about to have one.
     fn full(&self) -> bool {
         let new = self.asked.iter().filter(|key| !self.entries.contains_key(key)).count();
-        self.entries.len() + new >= self.most
+        self.len() + new >= self.most
     }
 
     fn judge(&self, now: Millis, key: Mark, rule: &Rule, shown: Option<&Token>) -> Result<Grant, Refusal> {
         if shown.is_some_and(|token| token.key != key) {
             return Err(Refusal::OtherKey);
         }
+        if self.unread.contains(&key) {
+            return Err(Refusal::Unread);
+        }
         let expires = now.saturating_add(rule.good_for);
         let entry = match (self.entries.get(&key), shown) {
             (Some(entry), Some(token)) if token.attempt < entry.attempt => return Err(Refusal::Replayed),
@@ -389,6 +405,23 @@
         assert_eq!(go(&mut ledger, 5_002, None), Err(Refusal::TooMany));
     }
 
+    #[test]
+    fn a_key_whose_entry_can_t_be_read_is_refused_until_its_repeats_can_come_no_more() {
+        let mut ledger = Ledger::new(8);
+        ledger.fence(key(1), 10_000);
+        let token =
+            Token { request: key(9), key: key(1), attempt: 3, group: 3, first: 9_000, expires: 9_900 };
+        assert_eq!(go(&mut ledger, 0, None), Err(Refusal::Unread));
+        assert_eq!(
+            go(&mut ledger, 9_999, Some(&token)),
+            Err(Refusal::Unread),
+            "a token tells of one attempt alone"
+        );
+        assert!(Refusal::Unread.may_have_run() && ledger.ask(9_999, key(2), &RULE, None).is_ok());
+        assert!(go(&mut ledger, 10_000, None).is_ok());
+        assert_eq!(ledger.forgotten(), vec![key(1)], "its store lets go of it as well");
+    }
+
     #[test]
     fn a_full_ledger_refuses_and_forgets_nothing_that_could_come_back() {
         let mut ledger = Ledger::new(1);
--- a/store/src/lib.rs
+++ b/store/src/lib.rs
@@ -64,6 +64,8 @@
 pub type Done = Box<dyn FnOnce(Result<(), Fault>) + Send>;
 /// Opens the file's bytes anew, each time that it must be opened.
 pub type Opener = Box<dyn FnMut() -> io::Result<Disk> + Send>;
+/// Takes what a store held, or says why it can't be used.
+type Loaded = Box<dyn FnMut(Held) -> Result<(), String> + Send>;
 /// All that a store held when it was opened.
 pub type Held = Vec<(Vec<u8>, Vec<u8>)>;
 
@@ -216,19 +218,17 @@
 }
 
 impl Store {
-    /// Opens a store. `loaded` is called once with all that it held: before this returns, or, where the disk fails
-    /// now, once it has been opened; until then each write is refused. An error where what is there can't be used.
+    /// Opens a store. `loaded` takes all that it held, once: before this returns, or, where the disk fails now, when it
+    /// has been opened; until then each write is refused. An error where what is there can't be used, or where `loaded`
+    /// refuses it: found late, that leaves the store closed.
     pub fn start(
         mut opener: Opener,
         commit: Commit,
-        loaded: impl FnOnce(Held) + Send + 'static,
+        mut loaded: impl FnMut(Held) -> Result<(), String> + Send + 'static,
     ) -> Result<Store, String> {
-        let mut loaded: Option<Box<dyn FnOnce(Held) + Send>> = Some(Box::new(loaded));
         let first = match open(&mut opener) {
             Ok((database, held)) => {
-                if let Some(tell) = loaded.take() {
-                    tell(held);
-                }
+                loaded(held)?;
                 Ok(database)
             }
             Err(Unopened::Disk(why)) => {
@@ -239,6 +239,7 @@
         };
         let (sender, jobs) = bounded(QUEUE);
         let counts = Arc::new(Counts::default());
+        let loaded = first.is_err().then(|| Box::new(loaded) as Loaded);
         let writer = Writer { opener, loaded, database: first, jobs, commit, counts: counts.clone() };
         let thread = thread::Builder::new().name("store".into()).stack_size(STACK);
         let writer = thread.spawn(move || writer.run()).map_err(|e| format!("thread store: {e}"))?;
@@ -276,7 +277,7 @@
 
 struct Writer {
     opener: Opener,
-    loaded: Option<Box<dyn FnOnce(Held) + Send>>,
+    loaded: Option<Loaded>,
     database: Result<Database, String>,
     jobs: Receiver<Job>,
     commit: Commit,
@@ -327,11 +328,11 @@
     fn reopen(&mut self) {
         match open(&mut self.opener) {
             Ok((database, held)) => {
-                tracing::info!("store: open again");
-                if let Some(tell) = self.loaded.take() {
-                    tell(held);
+                let taken = self.loaded.as_mut().map_or(Ok(()), |take| take(held));
+                if taken.is_ok() {
+                    self.loaded = None;
                 }
-                self.database = Ok(database);
+                self.database = taken.map(|()| database);
             }
             Err(Unopened::Disk(why) | Unopened::Unusable(why)) => self.database = Err(why),
         }
@@ -369,7 +370,7 @@
 
     fn start(opener: Opener, commit: Commit) -> (Result<Store, String>, Receiver<Held>) {
         let (told, heard) = unbounded();
-        (Store::start(opener, commit, move |held| drop(told.send(held))), heard)
+        (Store::start(opener, commit, move |held| told.send(held).map_err(|e| e.to_string())), heard)
     }
 
     #[test]
