Find the storm that repeats keep alive, and limits that end it; refuse dead routes

Ruled out as causes: the failure alone (clients that ask once: over 0.95) and the load alone (no failure: over 0.98).

--- a/core/src/limits.rs
+++ b/core/src/limits.rs
@@ -4,7 +4,7 @@
 use crate::clock::Clock;
 use foldmux::interface::{Fetch, Repeat, Time};
 use foldmux_limits::gate::{place, Admitted, Gate, Place};
-use foldmux_limits::table::{Resolved, Table};
+use foldmux_limits::table::{Resolved, Standing, Table};
 use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -13,7 +13,7 @@
 pub type Tell = Box<dyn FnOnce(bool) + Send>;
 
 struct State {
-    table: Arc<Table>,
+    table: Standing,
     gate: Gate,
     waiting: HashMap<u64, Tell>,
     /// Those that were told that they have a place, and have not heard it yet.
@@ -53,8 +53,13 @@
 impl Limiter {
     pub fn new(table: Table, clock: Clock, zone: String, repeats: Vec<Repeat>) -> Arc<Limiter> {
         let gate = Gate::new(&table);
-        let state =
-            State { table: Arc::new(table), gate, waiting: HashMap::new(), granted: HashSet::new(), next: 0 };
+        let state = State {
+            table: Standing::new(&table, &zone),
+            gate,
+            waiting: HashMap::new(),
+            granted: HashSet::new(),
+            next: 0,
+        };
         Arc::new(Limiter { state: Mutex::new(state), clock, zone, repeats })
     }
 
@@ -64,11 +69,12 @@
 
     /// All limits at once: requests that are open keep theirs.
     pub fn swap(&self, table: Table) {
+        let standing = Standing::new(&table, &self.zone);
         let mut state = self.state();
         // Under the lock, so that times come to the gate in their order.
         let now = self.clock.now();
         let (gone, admitted) = state.gate.swap(now, &table);
-        state.table = Arc::new(table);
+        state.table = standing;
         let gone: Vec<Tell> = gone.iter().filter_map(|id| state.waiting.remove(id)).collect();
         let admitted: Vec<Tell> = admitted.into_iter().filter_map(|id| state.grant(id)).collect();
         drop(state);
@@ -79,7 +85,7 @@
     pub fn enter(self: &Arc<Limiter>, class: usize, caller: &str, front: &str, tell: Tell) -> Entered {
         let mut state = self.state();
         let now = self.clock.now();
-        let Some(resolved) = state.table.find(class, &self.zone, caller, front).cloned() else {
+        let Some(resolved) = state.table.find(class, caller, front).cloned() else {
             return Entered::Free;
         };
         if resolved.at.is_empty() {
@@ -113,6 +119,21 @@
         }
     }
 
+    /// A place at once or none, for who can't wait for one.
+    pub fn enter_now(
+        self: &Arc<Limiter>,
+        class: usize,
+        caller: &str,
+        front: &str,
+    ) -> Result<Option<Held>, Time> {
+        match self.enter(class, caller, front, Box::new(|_| ())) {
+            Entered::Free => Ok(None),
+            Entered::In(held) => Ok(Some(held)),
+            Entered::Waits(held, _) => Err(held.advice(Time::MAX)),
+            Entered::Refused { wait } => Err(wait),
+        }
+    }
+
     fn expire(&self, state: &mut State, now: Time) -> Vec<Tell> {
         let over = state.gate.expired(now);
         over.iter().filter_map(|id| state.waiting.remove(id)).collect()
--- a/fronts/src/dns/mod.rs
+++ b/fronts/src/dns/mod.rs
@@ -162,8 +162,17 @@
             caller: "".into(),
             within: None,
         };
+        // A query does not wait for a place: one thread answers all that come over UDP.
+        let limits =
+            self.core.limits.get().map(|l| l.enter_now(*inquiry.class, &inquiry.caller, inquiry.front));
+        let Ok(limits) = limits.transpose().map(Option::flatten) else {
+            let why = "its class has no place";
+            return Reply::no(ResponseCode::ServFail, Some((EDE_NOT_READY, why)));
+        };
         let placed = place(&self.core, &inquiry, self.lease, |way| {
-            let (cache, source, fetch) = (&way.cache, way.source.as_ref(), &way.fetch);
+            let (cache, source) = (&way.cache, way.source.as_ref());
+            let mut fetch = way.fetch.clone();
+            limits.iter().for_each(|held| held.narrow(&mut fetch));
             let name = query.name().clone();
             let record = |data| Record::from_rdata(name.clone(), 0, data);
             let node = names::node(&cache.name, &self.zone);
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -18,6 +18,7 @@
                                                              a storm: with its limits, beside today's build
   foldmux-lab sweep SCENARIO --field F --values A,B,… [--repeats N] [--json]
   foldmux-lab plot SCENARIO --field F --values A,B,… [--repeats N] --out FILE.svg
+  foldmux-lab plot STORM --out FILE.svg                      worth by second, with limits and without
   foldmux-lab help
 
 The same scenario and seed give the same figures; repeats count the seed up.";
@@ -83,20 +84,28 @@
     };
     let words: Vec<&str> = words.iter().map(String::as_str).collect();
     match words[..] {
-        ["run", file] if is_storm(file)? => {
+        [what @ ("run" | "plot"), file] if is_storm(file)? => {
             let text = std::fs::read_to_string(file).map_err(|e| format!("{file}: {e}"))?;
             let storm = storm::Storm::parse(file, &text)?;
             let report = storm::report(&storm, &storm::limits(&storm, std::path::Path::new(file))?);
-            if json {
+            if what == "plot" {
+                let out = out.ok_or("--out is wanted")?;
+                let fails = [storm.fail_at_s, storm.fail_at_s + storm.fail_for_s];
+                plot::storm(&out, fails, &report.limited.series, &report.today.series)?;
+                println!("{out}: {} seconds", report.limited.series.len());
+            } else if json {
                 println!("{}", serde_json::to_string_pretty(&report).map_err(|e| e.to_string())?);
             } else {
-                println!("             load  recovery s  worth kept  records  attempts  rules broken");
+                println!(
+                    "             load  recovery s  worth kept     after  records  attempts  rules broken"
+                );
                 for (name, day) in [("limited", &report.limited), ("today", &report.today)] {
                     println!(
-                        "{name:<10} {:>6.2} {:>11.1} {:>11.3} {:>8.4} {:>9.3}  {:?}",
+                        "{name:<10} {:>6.2} {:>11.1} {:>11.3} {:>9.3} {:>8.4} {:>9.3}  {:?}",
                         day.load_factor,
                         day.recovery_s,
                         day.worth_kept,
+                        day.worth_after,
                         day.records_served,
                         day.attempts_per_request,
                         day.broken
--- a/lab/src/storm.rs
+++ b/lab/src/storm.rs
@@ -20,7 +20,7 @@
 const START: Time = 1_000_000_000;
 /// One way between proxy and box (us).
 const WAY: f64 = 300.0;
-/// A client that is refused comes back so often at the most, and not sooner than this (us).
+/// A client that is refused comes back so often at the most, unless a scenario says otherwise, and not sooner than this (us).
 const TRIES: u32 = 4;
 const SOONEST: Time = 50_000;
 /// An answer later than this after its client's deadline breaks the account's rule (us): the slack and the module's tick.
@@ -30,8 +30,8 @@
 const FILL: f64 = 15_000.0;
 /// Seconds over which the load is looked at: one alone is mostly chance.
 const LOOK: usize = 5;
-/// A box that would make one wait for longer turns it away untouched (us).
-const FULL_AFTER: f64 = 400_000.0;
+/// A box that would make one wait for longer turns it away untouched (ms), unless a scenario says otherwise.
+const FULL_AFTER: f64 = 400.0;
 
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
@@ -64,11 +64,29 @@
     /// A flood of cards beside the rest, in the same time (requests a second).
     #[serde(default)]
     pub flood: f64,
+    /// Clients that wait no longer than this (ms) leave, and ask again at once: plain repeats. The box goes on with what
+    /// nobody awaits any more. 0: they wait until their deadline.
+    #[serde(default)]
+    pub patience_ms: f64,
+    /// Tries of a client, the first among them.
+    #[serde(default = "tries")]
+    pub tries: u32,
+    /// How long a box lets a request wait before it turns one away (ms).
+    #[serde(default = "full_after")]
+    pub full_after_ms: f64,
     /// The operator's file with the limits; beside the scenario.
     pub limits: Option<String>,
 }
 
 /// What a day came to.
+fn tries() -> u32 {
+    TRIES
+}
+
+fn full_after() -> f64 {
+    FULL_AFTER
+}
+
 #[derive(Clone, Debug, Default, Serialize)]
 pub struct Day {
     pub requests: u64,
@@ -76,16 +94,24 @@
     pub load_factor: f64,
     /// From the boxes' return until three seconds in a row are worth what they were before (0.98 of it).
     pub recovery_s: f64,
+    /// The part of the worth asked for that was had before the storm.
+    pub worth_before: f64,
     /// Worth in the storm, over that before it.
     pub worth_kept: f64,
+    /// Worth from three seconds after the boxes' return to the end of the arrivals, over that before the storm: well
+    /// under 1 where the storm outlives its cause.
+    pub worth_after: f64,
     /// The part of records that was served, over the whole day.
     pub records_served: f64,
     pub attempts_per_request: f64,
+    /// By second, the part of the worth asked for that was had.
+    #[serde(skip)]
+    pub series: Vec<f64>,
     /// Rules of the account that were broken; none may be.
     pub broken: BTreeMap<&'static str, u64>,
 }
 
-#[derive(Serialize)]
+#[derive(Debug, Serialize)]
 pub struct Report {
     pub load_factor: f64,
     pub recovery_s: f64,
@@ -117,6 +143,8 @@
     Timer {
         token: u32,
     },
+    /// Its client waits no longer.
+    Leaves(u64),
     /// A request that waits for a place has waited until its client's deadline.
     Overdue(u64),
     Fails(bool),
@@ -339,6 +367,7 @@
                     self.finish(id, None);
                 }
             }
+            Event::Leaves(id) => self.leaves(id),
             Event::Fails(fails) => {
                 self.failing = fails;
                 let count = self.failed_boxes();
@@ -397,6 +426,9 @@
             _ => Admitted::Now,
         };
         self.open.insert(id, open);
+        if self.s.patience_ms > 0.0 {
+            self.after(self.s.patience_ms * 1e3, Event::Leaves(id));
+        }
         match admitted {
             Admitted::Now => self.ask(id),
             Admitted::Waits => self.after(budget as f64, Event::Overdue(id)),
@@ -509,7 +541,7 @@
         let (slot, free) =
             slots.iter().copied().enumerate().min_by(|a, b| a.1.total_cmp(&b.1)).expect("a box has slots");
         let begins = free.max(at);
-        if begins - at > FULL_AFTER {
+        if begins - at > self.s.full_after_ms * 1e3 {
             return end(self, 2.0 * WAY, Outcome::Full);
         }
         let object = self.open.get(&id).map_or(0, |open| open.ask.object.0);
@@ -574,6 +606,22 @@
         self.finish(id, if served { Some(Time::MAX) } else { wait });
     }
 
+    /// The client leaves without an answer, and comes again at once. The module hears of it as from the core: what is out
+    /// is cancelled, and the client is gone.
+    fn leaves(&mut self, id: u64) {
+        let Some(open) = self.open.get(&id) else { return };
+        let (request, out, attempts) = (RequestId(id), open.out, open.attempts);
+        if out > 0 {
+            let attempt = (attempts - 1) as u8;
+            let (outcome, note) = (Outcome::Cancelled, Note::Untold);
+            let report =
+                Told { id: request, attempt, outcome, note, elapsed: self.now - open.arrived, last: true };
+            self.tell(foldmux::interface::Event::Outcome(report));
+        }
+        self.tell(foldmux::interface::Event::ClientGone { id: request });
+        self.finish(id, Some(0));
+    }
+
     /// The end of a try: its place goes to whoever waits, and a client that is refused may come back. `wait`: none where
     /// it failed or had no place, the greatest where it was served.
     fn finish(&mut self, id: u64, wait: Option<Time>) {
@@ -595,7 +643,7 @@
             None if !open.asked => Some(advised.max(SOONEST)),
             None => None,
         };
-        if let Some(back) = back.filter(|_| open.tries + 1 < TRIES) {
+        if let Some(back) = back.filter(|_| open.tries + 1 < self.s.tries) {
             let left = open.deadline.saturating_sub(self.now + back);
             if left > 0 {
                 let Open { class, tries, key, .. } = open;
@@ -616,12 +664,16 @@
         self.day.load_factor = worst / before.max(1.0);
         let part = |second: usize| self.worth[second] / self.wanted[second].max(1e-9);
         let usual = mean(&(settled..from).map(part).collect::<Vec<_>>());
+        self.day.worth_before = usual;
         let in_storm = mean(&(from..to).map(part).collect::<Vec<_>>());
         self.day.worth_kept = in_storm / usual.max(1e-9);
         let end = self.s.seconds as usize;
         let three = |second: usize| mean(&(second..(second + 3).min(end)).map(part).collect::<Vec<_>>());
         let back = (to..end).find(|second| three(*second) >= 0.98 * usual);
         self.day.recovery_s = back.map_or(f64::INFINITY, |second| (second - to) as f64);
+        let after = (to + 3).min(end)..end.max((to + 3).min(end));
+        self.day.worth_after = mean(&after.map(part).collect::<Vec<_>>()) / usual.max(1e-9);
+        self.day.series = (0..end).map(part).collect();
         self.day.records_served = self.records.1 as f64 / (self.records.0.max(1)) as f64;
         self.day.attempts_per_request = self.attempts as f64 / self.day.requests.max(1) as f64;
         self.day
@@ -689,6 +741,33 @@
         );
     }
 
+    /// The clients' plain repeats, not the failure, keep it alive: without them it ends with its cause, and so it does
+    /// under limits.
+    #[test]
+    fn a_storm_that_plain_repeats_keep_alive_ends_under_limits() {
+        let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios/kept-alive.toml");
+        let text = std::fs::read_to_string(&file).unwrap();
+        let storm = Storm::parse("kept-alive.toml", &text).unwrap();
+        let draft = limits(&storm, &file).unwrap();
+        let seeds = [1, 2, 3, 4, 7];
+        let mean = |tries: u32, fails: f64, draft: Option<&Draft>| {
+            let days = seeds.map(|seed| {
+                let fail_part = storm.fail_part * fails;
+                play(&Storm { seed, tries, fail_part, ..storm.clone() }, draft)
+            });
+            assert!(days.iter().all(|day| day.broken.is_empty()), "{days:?}");
+            days.iter().map(|day| day.worth_after).sum::<f64>() / days.len() as f64
+        };
+        let alive = mean(storm.tries, 1.0, None);
+        assert!(alive < 0.3, "{alive} of the worth after the boxes' return");
+        assert!(mean(1, 1.0, None) > 0.95, "clients that ask once");
+        assert!(mean(storm.tries, 0.0, None) > 0.98, "no cause, no storm");
+        let ended = mean(storm.tries, 1.0, Some(&draft));
+        assert!(ended > 0.95, "{ended}");
+        let own = report(&storm, &draft);
+        assert!(own.recovery_s <= 3.0 && own.today.worth_after < 0.1, "{own:?}");
+    }
+
     #[test]
     fn a_flood_of_cards_does_not_push_records_out() {
         let storm = Storm { fail_part: 0.0, flood: 1_500.0, ..scenario() };
--- a/limits/benches/limits.rs
+++ b/limits/benches/limits.rs
@@ -3,7 +3,7 @@
 use foldmux_limits::check::check;
 use foldmux_limits::explore::{second_run, Setting};
 use foldmux_limits::gate::{place, Gate};
-use foldmux_limits::table::{Draft, Match, Route, Said, Table};
+use foldmux_limits::table::{Draft, Match, Route, Said, Standing, Table};
 use foldmux_limits::values::{Concurrency, Effective, Layer};
 use foldmux_limits::Account;
 
@@ -31,7 +31,21 @@
     let table = Table::new(&Account::default(), &draft(routes));
     // The last route of the class: all before it are looked at.
     let zone = format!("zone-{}", (routes - 1) / 3 * 3);
-    bencher.bench(|| table.find(0, divan::black_box(&zone), "", "msgpack").map(|r| r.values.attempts));
+    let standing = Standing::new(&table, &zone);
+    bencher.bench(|| standing.find(0, divan::black_box(""), "msgpack").map(|r| r.values.attempts));
+}
+
+/// As [`resolve`], where the routes differ by their callers: these are looked at one by one.
+#[divan::bench(args = [1, 20, 200])]
+fn resolve_by_caller(bencher: divan::Bencher, routes: usize) {
+    let mut draft = draft(routes);
+    for (n, said) in draft.routes.iter_mut().enumerate() {
+        let caller = Some(format!("spiffe://partner-{n}.example/*"));
+        said.value.matching = Match { caller, ..Match::default() };
+    }
+    let standing = Standing::new(&Table::new(&Account::default(), &draft), "zone-0");
+    let caller = format!("spiffe://partner-{}.example/front/3", (routes - 1) / 3 * 3);
+    bencher.bench(|| standing.find(0, divan::black_box(&caller), "ext_proc").map(|r| r.values.attempts));
 }
 
 #[divan::bench]
--- a/limits/src/check.rs
+++ b/limits/src/check.rs
@@ -43,6 +43,8 @@
     UnknownClass = "unknown-class": "the account has no class of that name, so the limits would hold for nothing",
     UnknownBudget = "unknown-budget": "no budget has that name, so repeats would be unbounded",
     UnknownFront = "unknown-front": "no front has that name, so the route would match nothing",
+    PatternShape = "pattern-shape": "a * stands for what follows at the end alone: elsewhere nothing would ever match",
+    NeverMatches = "never-matches": "callers prove who they are at the external processor alone, so nothing would ever match",
     TwiceSet = "twice-set": "two calls set the same, and only one of them could hold",
     TooManyRoutes = "too-many-routes": "each request looks through its class's routes",
     DeadlinePastAccount = "deadline-past-account": "clients leave at the account's deadline: what is done after it is lost",
@@ -57,6 +59,7 @@
     NotKeyed = "not-keyed": "only keyed classes have a window and a group",
     RepeatedOnce = "repeated-once": "an attempt of this class may have run, and none may follow",
     StalePastPurge = "stale-past-purge": "an older copy may be served for the purge slack and no longer",
+    StaleOfKeyed = "stale-of-keyed": "nothing of a keyed class is kept, so there is never an old copy to serve",
     RankOutOfRange = "rank-out-of-range": "caches know ranks 0 to 3",
     BackoffShape = "backoff-shape": "pauses grow from the first to the most, less a part of 0 to 100 percent",
     BackoffPastDeadline = "backoff-past-deadline": "after such a pause there is no time for an attempt",
@@ -187,6 +190,21 @@
                 let what = format!("route {}, front {front:?}", route.name);
                 self.add(Check::UnknownFront, vec![said.at.clone()], what);
             }
+            let matching = &route.matching;
+            let stars = |text: &&String| text.trim_end_matches('*').contains('*') || text.ends_with("**");
+            if let Some(text) = [&matching.zone, &matching.caller].into_iter().flatten().find(stars) {
+                self.add(
+                    Check::PatternShape,
+                    vec![said.at.clone()],
+                    format!("route {}: {text:?}", route.name),
+                );
+            }
+            let unproved = matching.front.as_deref().is_some_and(|f| f != "ext_proc" && FRONTS.contains(&f));
+            if unproved && matching.caller.as_ref().is_some_and(|caller| caller != "*") {
+                let front = matching.front.as_deref().unwrap_or_default();
+                let what = format!("route {}: a caller at the front {front:?}", route.name);
+                self.add(Check::NeverMatches, vec![said.at.clone()], what);
+            }
             let same = |other: &&crate::table::Said<crate::table::Route>| {
                 other.value.name == route.name && other.value.class == route.class
             };
@@ -197,6 +215,19 @@
         }
         let layers = draft.defaults.iter().map(|said| (&said.at, &said.value));
         let layers = layers.chain(draft.classes.iter().map(|said| (&said.at, &said.value.1)));
+        let keyed = |class: &str| {
+            self.account.class(class).is_some_and(|class| matches!(class.repeat, Repeat::Keyed(_)))
+        };
+        let classes = draft.classes.iter().map(|said| (&said.at, &said.value.0, &said.value.1));
+        let routes = draft.routes.iter().map(|said| (&said.at, &said.value.class, &said.value.layer));
+        let stale: Vec<(&String, &String)> = classes
+            .chain(routes)
+            .filter(|(_, class, layer)| layer.stale_ms.is_some_and(|ms| ms > 0) && keyed(class))
+            .map(|(line, class, _)| (line, class))
+            .collect();
+        for (line, class) in stale {
+            self.add(Check::StaleOfKeyed, vec![line.clone()], format!("{class}: stale_ms"));
+        }
         let layers: Vec<(&String, &Layer)> =
             layers.chain(draft.routes.iter().map(|said| (&said.at, &said.value.layer))).collect();
         for (line, layer) in layers {
--- /dev/null
+++ b/limits/tests/faulty/72-pattern-of-a-zone.star
@@ -0,0 +1,1 @@
+route("north", of = "mix-video", zone = "*vaniemi", attempts = 3)
--- /dev/null
+++ b/limits/tests/faulty/73-pattern-twice.star
@@ -0,0 +1,1 @@
+route("all", of = "mix-video", caller = "spiffe://partner.example/**", attempts = 3)
--- /dev/null
+++ b/limits/tests/faulty/75-stale-record.star
@@ -0,0 +1,1 @@
+limits("mix-record", stale_ms = 500)
--- a/proxy/tests/dns.rs
+++ b/proxy/tests/dns.rs
@@ -6,6 +6,7 @@
 use foldmux_core::buffers::Buffers;
 use foldmux_core::clock::Clock;
 use foldmux_core::desk::{DeskHandle, Notice};
+use foldmux_core::limits::Limiter;
 use foldmux_core::members::{Listed, Members};
 use foldmux_core::{Core, Desk};
 use foldmux_fronts::dns::{server::Bound, Routed};
@@ -28,6 +29,7 @@
 const PATIENCE: Duration = Duration::from_secs(30);
 
 struct Rig {
+    core: Arc<Core>,
     desk: DeskHandle,
     clock: Clock,
     at: [Option<SocketAddr>; 3],
@@ -36,7 +38,14 @@
 
 /// A desk with two caches, a parent and the origin, and the DNS front that `setup` describes.
 fn rig(zone: &str, more: &str, most: usize) -> Rig {
+    limited(zone, more, most, "")
+}
+
+/// With limits, as the operator's file sets them.
+fn limited(zone: &str, more: &str, most: usize, limits: &str) -> Rig {
     let decoded = foldmux_settings::parse(common::SETTINGS).unwrap();
+    let account = foldmux_proxy::limits::account(&decoded, 1_024, 192);
+    let repeats = decoded.settings.classes.iter().map(|class| class.repeat).collect();
     let (clock, members, pool) =
         (Clock::default(), Arc::new(Members::default()), Pool::new(8, Duration::from_secs(15)));
     let router = Router::new(decoded.settings, 1);
@@ -47,16 +56,21 @@
     let core =
         Core::new(handle.clone(), clock.clone(), buffers, members, Box::new(upstream), 0, 21_000_000, most);
     let setup = format!(
-        r#"dns(zone = "{zone}", udp = "127.0.0.1:0", tcp = "127.0.0.1:0", patience_ms = 20000{more})"#
+        "dns(zone = {zone:?}, udp = \"127.0.0.1:0\", tcp = \"127.0.0.1:0\", patience_ms = 20000{more})\n{limits}"
     );
-    let mut bound = Bound::new(evaluate("dns.star", setup).unwrap().dns.unwrap()).unwrap();
+    let operator = evaluate("dns.star", setup).unwrap();
+    if let Some(draft) = &operator.limits {
+        let table = foldmux_proxy::limits::table(&account, draft).unwrap();
+        assert!(core.limits.set(Limiter::new(table, clock.clone(), "edge".into(), repeats)).is_ok());
+    }
+    let mut bound = Bound::new(operator.dns.unwrap()).unwrap();
     let (at, serial) = (bound.addresses(), bound.notify(&mut desk).unwrap());
     let routed =
         |place: usize, name: &str| Routed { name: name.into(), place: place.into(), writes: place == 1 };
     let classes = vec![routed(0, "sheet"), routed(1, "record")];
-    bound.serve(core, classes, serial, 8).unwrap();
+    bound.serve(core.clone(), classes, serial, 8).unwrap();
     std::thread::spawn(move || desk.run());
-    let rig = Rig { desk: handle, clock, at, zone: zone.to_string() };
+    let rig = Rig { core, desk: handle, clock, at, zone: zone.to_string() };
     let all = [(1, 0), (2, 0), (3, 1), (4, 2)].map(|(n, kind)| rig.line(n, kind, State::Ready, 0));
     rig.desk.tell(Notice::Members { full: true, listed: all.to_vec() });
     rig
@@ -175,6 +189,22 @@
     assert_eq!((answer.response_code(), ede(&answer)), (ResponseCode::ServFail, Some(22)));
 }
 
+#[test]
+fn a_placement_takes_a_place_of_its_class_and_keeps_to_its_limits() {
+    let limits = "limits(\"sheet\", places = 1)\nroute(\"named\", of = \"sheet\", front = \"dns\", keep = 0)";
+    let rig = limited("route.example.", "", 8, limits);
+    let unkept = |message: &Message| {
+        message.answers().first().is_some_and(|answer| answer.data().to_string().contains("keep=0"))
+    };
+    assert!(unkept(&rig.ask(&rig.part(3), RecordType::TXT)));
+    let Ok(Some(held)) = rig.core.limits.get().unwrap().enter_now(0, "", "dns") else { panic!("a place") };
+    let none = rig.ask(&rig.part(3), RecordType::TXT);
+    assert_eq!((none.response_code(), ede(&none)), (ResponseCode::ServFail, Some(14)));
+    drop(held);
+    assert!(unkept(&rig.ask(&rig.part(3), RecordType::TXT)));
+    assert_eq!(rig.core.limits.get().unwrap().sizes(), [0, 0], "each place is given back");
+}
+
 #[test]
 fn an_answer_too_long_for_udp_is_truncated_and_whole_over_tcp() {
     let rig = rig("route.example.", "", 8);
