Do not round a cold cache's share down, nor count caches that drain in it

Checked by a probe of each outcome by the cache's age, and of each refusal. At fault in brain.rs: cold_room took a share of 1.5 requests for 1, and usual counted caches that drain, so that a share shrank while caches were replaced. Change: the turn among fronts rounds a share up or down so that the mean is kept; usual counts those that are ready.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -437,9 +437,13 @@
             let all = self.servers.iter().filter(|(_, s)| self.tier(&s.member) == tier && near(tier, s));
             all.map(|(&c, _)| c).collect()
         });
-        for (usual, tier) in self.usual.iter_mut().zip([0, 2]) {
-            *usual = usual.max(self.tiers[tier].len() as f64);
-        }
+        let ready = self.ready();
+        self.usual = std::array::from_fn(|n| self.usual[n].max(ready[n]));
+    }
+
+    /// Own caches and parents that serve; one that drains is no one's usual share.
+    fn ready(&self) -> [f64; 2] {
+        [0, 2].map(|tier| self.tiers[tier].iter().filter(|c| self.servers[c].ready()).count() as f64)
     }
 
     /// Steps on the ring of hubs between this zone's hub and another's.
@@ -555,9 +559,9 @@
         // An answer that is still in a client's hands may be used at any time of its lease.
         let leases = self.leases.get(&server.member.cache).into_iter().flatten();
         let spent = spent + leases.filter(|l| l.0 > now).map(|l| l.1).sum::<f64>();
-        // A share under one request: fronts take turns, a part of them in each window.
+        // Shares of a few requests, or of none: fronts take turns, so that over all of them nothing is lost to rounding.
         let turn = s.index as f64 * TURN.0 + (now / s.fall_window.max(1)) as f64 * TURN.1;
-        spent + weight <= budget || (spent == 0.0 && weight * turn.fract() < budget)
+        spent + weight * turn.fract() < budget
     }
 
     fn cold(&self, now: Time, server: &Server) -> bool {
@@ -1000,9 +1004,9 @@
         for id in late {
             self.give_up(id, out);
         }
-        for (usual, tier) in self.usual.iter_mut().zip([0, 2]) {
-            let listed = self.tiers[tier].len() as f64;
-            *usual = listed.max(*usual + (listed - *usual) * TICK as f64 / RATE_OVER);
+        let ready = self.ready();
+        for (usual, ready) in self.usual.iter_mut().zip(ready) {
+            *usual = ready.max(*usual + (ready - *usual) * TICK as f64 / RATE_OVER);
         }
     }
 }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -157,6 +157,34 @@
     }
 }
 
+/// What one front sends in eight seconds to a cold cache beside warm ones; `draining`: others that are on their way out.
+fn sent_to_one_cold(draining: u32, size_kb: f64) -> usize {
+    let mut all = members();
+    all.extend((50..50 + draining).map(|c| Member { state: State::Draining, ..member(c, 2, 0) }));
+    let mut front = Front::new(settings(), all);
+    let send = |front: &mut Front, object: u64| {
+        front.now += 50 * MS;
+        let fetch = only_fetch(&front.request_of(0, object, size_kb).1);
+        front.outcome_after(&fetch, 0, Outcome::Served, Note::Hit, 100 * MS);
+        (fetch.cache.0 == 10) as usize
+    };
+    for k in 0..400 {
+        send(&mut front, k);
+    }
+    let boot = front.now;
+    front.change(10, |m| m.boot = boot);
+    (1_000..1_160).map(|k| send(&mut front, k)).sum()
+}
+
+#[test]
+fn a_cold_cache_s_share_is_not_lost_to_rounding_nor_to_caches_that_leave() {
+    // A request is 0.1 s of work, and one of four caches bears 0.5 s of it a second: of that, 0.6 * 2.5 of the ramp.
+    let wanted: f64 = (0..8).map(|k| 0.6 * 2.5 * (0.2 + 0.8 * k as f64 / 16.0) * 0.5 / 0.1).sum();
+    let sent = sent_to_one_cold(0, 1_000.0) as f64;
+    assert!(sent > 0.85 * wanted && sent <= wanted / 0.6, "{sent} of {wanted}");
+    assert_eq!(sent_to_one_cold(4, 1_000.0) as f64, sent, "four that drain beside them bear nothing");
+}
+
 #[test]
 fn a_new_front_in_a_restarted_zone_still_sends_something() {
     let (_, all) = cold_zone(4, 20, 0);
