--- a/src/brain.rs
+++ b/src/brain.rs
@@ -559,7 +559,7 @@
         // An answer that is still in a client's hands may be used at any time of its lease.
         let leases = self.leases.get(&server.member.cache).into_iter().flatten();
         let spent = spent + leases.filter(|l| l.0 > now).map(|l| l.1).sum::<f64>();
-        // Shares of a few requests, or of none: fronts take turns, so that over all of them nothing is lost to rounding.
+        // Shares of a few requests or none: fronts take turns, so that in all nothing is lost to rounding.
         let turn = s.index as f64 * TURN.0 + (now / s.fall_window.max(1)) as f64 * TURN.1;
         spent + weight * turn.fract() < budget
     }
