--- a/src/brain.rs
+++ b/src/brain.rs
@@ -339,8 +339,8 @@
 }
 
 impl Router {
-    /// Other settings, all at once. A class that open requests have keeps its place; a place under other rules
-    /// is another class's, whose sizes are not known yet.
+    /// Other settings, all at once. A class that open requests have keeps its place; a place under other
+    /// rules is another class's, whose sizes are not known yet.
     pub fn retune(&mut self, settings: Settings) {
         let same = |k: usize| self.settings.classes.get(k) == settings.classes.get(k);
         let work = |k: usize| if same(k) { self.class_work[k] } else { 0.0 };
