Tell the external processor's counts at a refused reload of its keys as well

Read back over the change: with refusals moved to WARN, the counts that the log tells at each SIGHUP (docs/extproc.md) were left out where the keys are refused (server.rs). They are told either way again, as before. In the stand-in caller a name was bound to itself; gone.

--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -192,7 +192,9 @@
             tell("limits", relimit(own_file, &account, limiter));
         }
         if let (Some(serving), Some(own_file)) = (&processor, own_file) {
-            tell("token keys", rekey(own_file, serving).map(|keys| format!("{keys}; {}", serving.line())));
+            // What was placed and refused is told either way.
+            let counted = |text: String| format!("{text}; {}", serving.line());
+            tell("token keys", rekey(own_file, serving).map(counted).map_err(counted));
         }
     }
     if let Some(mut serving) = processor.take() {
--- a/standins/src/caller.rs
+++ b/standins/src/caller.rs
@@ -338,7 +338,7 @@
             Some(sent) => sent,
             None => {
                 let (request, fields, path) = (request.clone(), fields.clone(), path.clone());
-                let (time, cut) = (self.setup.attempt, cut);
+                let time = self.setup.attempt;
                 let send = tokio::task::spawn_blocking(move || send(&request, &path, &fields, to, time, cut));
                 match send.await {
                     Ok(sent) => sent,
