Give the origin a route of its own, so that parents' failures do not refuse its fills

Cause: src/brain.rs kept one Route for all that may come from the origin (routes[1], in try_next and learn): a parent that refuses, times out or is late cut the way to the origin as well, and from ROUTE_LEAST it takes 33 s to open again, whatever a front's share of the traffic is.

Change: parents and the origin have a route each. What the parents' route turns away goes to the origin if its own route is open and it was not heard to be slow (150 ms); else parents give what they hold, as before. An origin's failure that a note names cuts both.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,10 +30,10 @@
 const SHUN: Time = 1_000_000;
 /// An attempt is called off after so many times the wait that is in time; what is left is worth little.
 const OVERDUE: Time = 2;
-/// A source that refuses counts as one that is so slow (us); the slowest parent that a quicker origin is not
-/// asked instead of.
+/// A source that refuses counts as so slow (us); the slowest parent before a quicker origin; the slowest
+/// origin that takes what the parents' way turns away.
 const REFUSED_AS: f64 = 2_000_000.0;
-const SLOW: f64 = 400_000.0;
+const SLOW: (f64, f64) = (400_000.0, 150_000.0);
 /// A latency that was not heard again for so long (us) says nothing any more.
 const HEARD: Time = 2_000_000;
 /// Latency of a fill while nothing has been heard (us).
@@ -48,7 +48,7 @@
 const COLD_SAFETY: f64 = 0.6;
 /// Time over which work is averaged (us): longer than a restarted location takes to warm.
 const RATE_OVER: f64 = 20_000_000.0;
-/// Steps of the fronts' turns from front to front and from window to window: both spread evenly.
+/// Steps of the fronts' turns from front to front and from window to window.
 const TURN: (f64, f64) = (0.618_034, 0.414_214);
 /// Part of the work asked for that caches can bear at least, with every client asking three times.
 const ASKED_BEARABLE: f64 = 0.33;
@@ -59,15 +59,14 @@
 /// A cache is full from this multiple of the transfers that it carries at full pace.
 const SPILL_AT: f64 = 1.3;
 /// A route's open share: the cut on a failed or late use, the gain with each request that wants it (a seventh
-/// of them may fail), the least: enough to see a recovery. Steps get smaller above so many requests a second,
-/// as the outcomes of those that are out tell nothing new.
+/// may fail), the least: enough to see a recovery. Steps get smaller above so many requests a second.
 const ROUTE_CUT: f64 = 0.25;
 const ROUTE_GAIN: f64 = 0.04;
 const ROUTE_LEAST: f64 = 0.02;
 const ROUTE_RATE: f64 = 3.0;
 /// What a late answer takes off a limit and what one in time adds to it: a seventh may be late.
 const LIMIT_STEPS: (f64, f64) = (0.6, 0.1);
-/// Least limit; its roots that may be out beyond it: one front's few come in bunches, all fronts' don't.
+/// Least limit; its roots that may be out beyond it, as one front's few come in bunches.
 const LIMIT_ROOM: (f64, f64) = (0.5, 2.0);
 /// An answer is late from this part of the wait that is still in time: crowding shows before it hurts.
 const LATE: f64 = 0.5;
@@ -108,8 +107,8 @@
         }
     }
 
-    /// Guards against whatever makes a server fail more than its like: dead, hung, erring, or cut off. What
-    /// all of a tier have in common (a failing origin, lost answers) is no reason to leave any of them.
+    /// Guards against a server that fails more than its like: dead, hung, erring, cut off. What all have in
+    /// common (a failing origin, lost answers) is no reason to leave any.
     fn note(&mut self, now: Time, failed: bool, dead: bool, like: &mut f64) {
         let sample = failed as u8 as f64;
         self.fail += FAIL_SMOOTH.0 * (sample - self.fail);
@@ -262,10 +261,10 @@
     /// Attempts that reach no further than caches and what parents hold; likely fills that may.
     near: Limit,
     deep: Limit,
-    /// Part of the attempts that ask a cache alone and are not answered.
+    /// Part of the attempts at a cache alone that are not answered.
     unanswered: f64,
-    /// The fills of the zone; those that may come from the origin.
-    routes: [Route; 2],
+    /// The fills of the zone; by way of parents; straight from the origin.
+    routes: [Route; 3],
     /// Failure records of the own caches, the siblings, the parents, the origin.
     like: [f64; 4],
     retries: f64,
@@ -280,13 +279,12 @@
     x ^ (x >> 31)
 }
 
-/// Rendezvous score of a cache for a key: each front finds the same home.
+/// Rendezvous score: each front finds the same home.
 fn score(key: u64, cache: CacheId) -> u64 {
     mix(key ^ mix(cache.0 as u64 + 0x9e3779b97f4a7c15))
 }
 
-/// A way that requests take: the fills of the zone, what fetches from the origin. It is open to
-/// a part of them, which shrinks with late and failed uses and grows with requests that want it.
+/// A way, open to a part of the requests, less with late and failed uses, more with those that want it.
 #[derive(Clone, Copy)]
 struct Route {
     open: f64,
@@ -316,8 +314,7 @@
     }
 }
 
-/// How many attempts of a sort may be out: less with each late one, a little more with each in time, so that
-/// the same part of them is late whatever a front's share of the traffic is.
+/// How many attempts of a sort may be out: the same part of them is late whatever a front's share is.
 struct Limit {
     most: f64,
     out: f64,
@@ -370,7 +367,7 @@
             query_gain: LATENCY_START / 4.0,
             near: Limit { most: f64::MAX, out: 0.0 },
             deep: Limit { most: f64::MAX, out: 0.0 },
-            routes: [Route { open: 1.0, gap: 1.0, wanted: 0 }; 2],
+            routes: [Route { open: 1.0, gap: 1.0, wanted: 0 }; 3],
             like: [0.0; 4],
             retries: RETRY.1,
         }
@@ -427,7 +424,6 @@
                 self.servers.entry(cache).or_default().member = member;
             }
         }
-        // Kept by tier on list changes, so that a request's work does not grow with the fleet.
         let apart = |s: &Server| self.hubs_apart(s.member.zone);
         let siblings = || self.servers.values().filter(|s| self.tier(&s.member) == 1);
         let nearest = siblings().map(apart).min();
@@ -639,7 +635,7 @@
         let latency = |c: &CacheId| self.servers[c].heard_latency(now).unwrap_or(average);
         let drawn = parents.iter().take(2).min_by(|a, b| latency(a).total_cmp(&latency(b)));
         // Guards against a parent that refuses, or is crowded, being asked for all as it is the one left.
-        let quick = |c: &&CacheId| self.servers[c].heard_latency(now).is_none_or(|l| l < SLOW);
+        let quick = |c: &&CacheId| self.servers[c].heard_latency(now).is_none_or(|l| l < SLOW.0);
         let origin = || self.tiers[3].iter().filter(room).find(quick);
         let above = drawn.filter(quick).or_else(origin).or(drawn);
         above.or_else(|| self.tiers[3].iter().chain(&self.tiers[2]).find(room)).copied()
@@ -656,8 +652,7 @@
         }
     }
 
-    /// The sibling asked: the object's home cache in a neighbouring zone, same hub first. Cold siblings are
-    /// left alone: a look counts as load too.
+    /// The sibling asked: the object's home cache in a neighbouring zone. Cold ones are left alone.
     fn sibling(&self, now: Time, key: u64) -> Option<CacheId> {
         let fit = |c: &&CacheId| self.gives(now, &self.servers[c]);
         let order = |c: &&CacheId| (mix(key ^ self.servers[c].member.zone as u64), score(key, **c), **c);
@@ -730,13 +725,21 @@
         if kept && plan.source != plan.cache && !self.routes[0].admit(now, draws[0]) {
             // Guards against a jam of fills, whatever slows them: look at what is held, else refuse at once.
             (plan.source, plan.query, plan.hold_only, plan.time_out) = (plan.cache, false, false, 0);
-        } else if kept
-            && tier >= 2
-            && !(self.routes[1].admit(now, draws[1]) && (plan.listed || self.deep.free(draws[2])))
-        {
-            // Guards against keeping a slow or stopped origin down: parents give what they hold.
-            plan.hold_only = true;
-            plan.source = if tier == 3 { plan.cache } else { plan.source };
+        } else if kept && tier >= 2 {
+            let room = plan.listed || self.deep.free(draws[2]);
+            let tried = &self.requests[&id].tried;
+            let quick = |s: &Server| s.ready() && s.heard_latency(now).is_none_or(|l| l < SLOW.1);
+            let fit =
+                |c: &&CacheId| tier == 2 && !plan.listed && !tried.contains(c) && quick(&self.servers[c]);
+            let origin = self.tiers[3].iter().find(fit).copied();
+            let mut open = |tier: usize| self.routes[tier - 1].admit(now, draws[1]) && room;
+            if !open(tier) {
+                // Guards against refusing for the parents' failures what the origin would bear, and against
+                // keeping a slow or stopped origin down: parents give what they hold.
+                let instead = origin.filter(|_| open(3));
+                plan.hold_only = instead.is_none();
+                plan.source = instead.unwrap_or(if tier == 3 { plan.cache } else { plan.source });
+            }
         }
         // Guards against late answers for all where the caches' links are asked for more than they carry.
         let crowded = first && !self.near.free(draws[2]);
@@ -928,7 +931,8 @@
             // A parent's own copy that comes late, or no fill place, speaks of the link; else of the origin.
             let filled = note == Note::Filled && self.settings.notes == Notes::All;
             let link = !attempt.above || attempt.plan.hold_only || filled || note == Note::NoFillPlace;
-            self.routes[!link as usize].cut();
+            self.routes[if link { 0 } else { above.max(2) - 1 }].cut();
+            (note == Note::OriginFailed).then(|| self.routes[2].cut());
         }
         let failed = matches!(outcome, Outcome::Error | Outcome::TimedOut);
         let blamed = if untold { asked && failed } else { note.source_fault() };
@@ -981,8 +985,8 @@
     /// The final answer at once. Refused where trying again is harmless, else failed.
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
-        let mut left = self.attempts.range((id, 0)..=(id, u8::MAX));
-        let ran = request.may_have_run.is_some() || request.within.is_some() || left.next().is_some();
+        let out_still = self.attempts.range((id, 0)..=(id, u8::MAX)).next().is_some();
+        let ran = request.may_have_run.is_some() || request.within.is_some() || out_still;
         let refuse = match self.settings.classes[request.class].repeat {
             Repeat::Safe | Repeat::Keyed(Group::All) => true,
             _ => !ran,
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -308,6 +308,40 @@
     assert!(later[&30] >= 10 && later[&31] >= 10, "{later:?}");
 }
 
+#[test]
+fn what_the_parents_fail_is_asked_of_an_origin_that_serves_and_not_refused() {
+    let lone = Settings { siblings: Siblings::None, notes: Notes::None, ..settings() };
+    let mut front = Front::new(lone, members());
+    let (mut served, mut refused) = (0, 0);
+    for object in 1_000..1_600 {
+        front.now += 100 * MS;
+        let mut actions = front.request(0, object).1;
+        for attempt in 0..8 {
+            let Some(fetch) = fetches(&actions).first().cloned() else { break };
+            let origin = fetch.source.0 == 40;
+            let outcome = if origin { Outcome::Served } else { Outcome::TimedOut };
+            served += (origin && object >= 1_200) as u32;
+            actions = front.outcome_after(&fetch, attempt, outcome, Note::Untold, 90 * MS);
+        }
+        refused += (finals(&actions) == 1 && object >= 1_200) as u32;
+    }
+    assert!(served > 300 && refused < 100, "{served} served, {refused} refused of 400");
+}
+
+#[test]
+fn a_fill_that_ends_badly_after_its_parent_left_harms_nothing() {
+    for (parent, note) in [(30, Note::Untold), (31, Note::OriginFailed), (30, Note::NoFillPlace)] {
+        let mut front = Front::new(Settings { siblings: Siblings::None, ..settings() }, members());
+        let fetch = (1..50).find_map(|k| {
+            let fetch = only_fetch(&front.request(0, k).1);
+            (fetch.source.0 == parent).then_some(fetch)
+        });
+        front.change(parent, |m| m.state = State::Gone);
+        let next = front.outcome(&fetch.expect("both are drawn"), 0, Outcome::TimedOut, note);
+        assert_eq!(finals(&next) + fetches(&next).len(), 1, "answered, or tried elsewhere: {next:?}");
+    }
+}
+
 #[test]
 fn fills_follow_the_wiring_and_go_to_the_origin_where_it_names_no_parent() {
     let mut front = Front::new(Settings { siblings: Siblings::None, ..settings() }, members());
