Ask the origin round the parents only where parents lose fills, not where links are short

Cause: src/brain.rs, try_next: a route that closes for lateness was taken for one that closes for failures.

Change: the router keeps what part of the parents' fills is lost (refused, timed out, an error); the origin is asked round them only above a twentieth.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -4,8 +4,9 @@
 //! placed (summary, then home cache) and its miss given a source (listed holder, sibling, parent, origin);
 //! its outcomes are learned from; it is tried again or given up; a tick looks for what is overdue.
 
+use crate::books::{Entry, Rate, Table};
 use crate::interface::*;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 /// Time between looks at what is overdue (us); that timer's name.
 const TICK: Time = 25_000;
@@ -34,6 +35,8 @@
 /// origin that takes what the parents' way turns away.
 const REFUSED_AS: f64 = 2_000_000.0;
 const SLOW: (f64, f64) = (400_000.0, 150_000.0);
+/// Only where parents lose more than this part it does: where they are late the links may be what is short.
+const LOST: f64 = 0.05;
 /// A latency that was not heard again for so long (us) says nothing any more.
 const HEARD: Time = 2_000_000;
 /// Latency of a fill while nothing has been heard (us).
@@ -107,8 +110,7 @@
         }
     }
 
-    /// Guards against a server that fails more than its like: dead, hung, erring, cut off. What all have in
-    /// common (a failing origin, lost answers) is no reason to leave any.
+    /// Guards against a server that fails more than its like (dead, hung, erring, cut off).
     fn note(&mut self, now: Time, failed: bool, dead: bool, like: &mut f64) {
         let sample = failed as u8 as f64;
         self.fail += FAIL_SMOOTH.0 * (sample - self.fail);
@@ -119,66 +121,6 @@
     }
 }
 
-/// Work done lately, as transfers at full pace; unbiased from its first sample on.
-#[derive(Default)]
-struct Rate {
-    sum: f64,
-    first: Time,
-    at: Time,
-}
-
-impl Rate {
-    fn add(&mut self, now: Time, work: f64) {
-        self.first = if self.at == 0 { now } else { self.first };
-        self.sum = self.decayed(now) + work;
-        self.at = now;
-    }
-
-    fn get(&self, now: Time) -> f64 {
-        let seen = now.saturating_sub(self.first).max(1_000_000) as f64 / RATE_OVER;
-        self.decayed(now) / RATE_OVER / (1.0 - (-seen).exp())
-    }
-
-    fn decayed(&self, now: Time) -> f64 {
-        self.sum * (-(now.saturating_sub(self.at) as f64) / RATE_OVER).exp()
-    }
-}
-
-/// A summary: which cache holds an object. Bounded; entries expire.
-#[derive(Default)]
-struct Table {
-    entries: HashMap<u64, Entry>,
-    /// Ends of life in the order they were set; an entry that was renewed has a later one.
-    ends: VecDeque<(Time, u64)>,
-}
-
-#[derive(Clone, Copy)]
-struct Entry {
-    cache: CacheId,
-    group: u32,
-    until: Time,
-}
-
-impl Table {
-    fn put(&mut self, key: u64, entry: Entry, now: Time) {
-        self.entries.insert(key, entry);
-        self.ends.push_back((entry.until, key));
-        while let Some(&(until, key)) = self.ends.front() {
-            if until > now && self.ends.len() <= TABLE_MAX {
-                break;
-            }
-            self.ends.pop_front();
-            if self.entries.get(&key).is_some_and(|e| e.until <= until) {
-                self.entries.remove(&key);
-            }
-        }
-    }
-
-    fn get(&self, key: u64, now: Time) -> Option<Entry> {
-        self.entries.get(&key).copied().filter(|e| e.until > now)
-    }
-}
-
 #[derive(Default)]
 struct Request {
     class: usize,
@@ -261,8 +203,9 @@
     /// Attempts that reach no further than caches and what parents hold; likely fills that may.
     near: Limit,
     deep: Limit,
-    /// Part of the attempts at a cache alone that are not answered.
+    /// Part of the attempts at a cache alone that are not answered; of the parents' fills that are lost.
     unanswered: f64,
+    lost: f64,
     /// The fills of the zone; by way of parents; straight from the origin.
     routes: [Route; 3],
     /// Failure records of the own caches, the siblings, the parents, the origin.
@@ -356,14 +299,15 @@
             wired: None,
             requests: BTreeMap::new(),
             attempts: BTreeMap::new(),
-            local: Table::default(),
+            local: Table::new(TABLE_MAX),
             leases: BTreeMap::new(),
             purges: BTreeMap::new(),
             class_work,
-            asked: Rate::default(),
-            served: Default::default(),
+            asked: Rate::over(RATE_OVER),
+            served: [Rate::over(RATE_OVER); 2],
             usual: [0.0; 2],
             unanswered: 0.0,
+            lost: 0.0,
             query_gain: LATENCY_START / 4.0,
             near: Limit { most: f64::MAX, out: 0.0 },
             deep: Limit { most: f64::MAX, out: 0.0 },
@@ -452,7 +396,7 @@
 
     fn forget(&mut self, cache: CacheId) {
         self.servers.remove(&cache);
-        self.local.entries.retain(|_, e| e.cache != cache);
+        self.local.retain(|_, e| e.cache != cache);
     }
 
     fn on_purge(&mut self, now: Time, object: Option<ObjectId>, group: u32, ago: Time) {
@@ -469,7 +413,7 @@
         *held = (held.0.max(at), held.1.max(until));
         let hit =
             |k: u64, e: &Entry| if object.is_some() { k & OBJECT_BITS == key } else { e.group == group };
-        self.local.entries.retain(|&k, e| !hit(k, e));
+        self.local.retain(|k, e| !hit(k, e));
     }
 
     /// When a copy of this must have left the origin at the earliest, if a purge binds.
@@ -729,8 +673,9 @@
             let room = plan.listed || self.deep.free(draws[2]);
             let tried = &self.requests[&id].tried;
             let quick = |s: &Server| s.ready() && s.heard_latency(now).is_none_or(|l| l < SLOW.1);
-            let fit =
-                |c: &&CacheId| tier == 2 && !plan.listed && !tried.contains(c) && quick(&self.servers[c]);
+            let fit = |c: &&CacheId| {
+                tier == 2 && self.lost > LOST && !plan.listed && !tried.contains(c) && quick(&self.servers[c])
+            };
             let origin = self.tiers[3].iter().find(fit).copied();
             let mut open = |tier: usize| self.routes[tier - 1].admit(now, draws[1]) && room;
             if !open(tier) {
@@ -927,6 +872,9 @@
             self.routes[0].cut();
         }
         let lost = matches!(outcome, Outcome::Full | Outcome::TimedOut) || note == Note::OriginFailed;
+        if above == 2 && asked && !attempt.plan.hold_only {
+            self.lost += SMOOTH * ((lost || outcome == Outcome::Error) as u8 as f64 - self.lost);
+        }
         if ((late && from_source) || lost) && filling && !attempt.plan.query {
             // A parent's own copy that comes late, or no fill place, speaks of the link; else of the origin.
             let filled = note == Note::Filled && self.settings.notes == Notes::All;
@@ -963,7 +911,7 @@
         }
         let cache = attempt.plan.cache;
         if outcome == Outcome::Miss && self.local.get(attempt.key, now).is_some_and(|e| e.cache == cache) {
-            self.local.entries.remove(&attempt.key);
+            self.local.remove(attempt.key);
         }
         let mine = self.servers.get(&cache).is_some_and(|s| s.ready() && self.tier(&s.member) == 0);
         // A fill that began before a purge says nothing of what is held after it.
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -393,3 +393,19 @@
         "as light as it is, it has room at a cold cache: {given}, and {kept} with old sizes"
     );
 }
+
+#[test]
+fn what_is_late_by_way_of_parents_that_lose_nothing_is_not_added_to_the_origin() {
+    let lone = Settings { siblings: Siblings::None, notes: Notes::None, ..settings() };
+    let mut front = Front::new(lone, members());
+    let mut straight = 0;
+    for object in 1_000..1_400 {
+        front.now += 30 * MS;
+        for fetch in fetches(&front.request(0, object).1) {
+            straight += (fetch.source.0 == 40) as u32;
+            // Served, each of them late: the links are what is short.
+            front.outcome_after(&fetch, 0, Outcome::Served, Note::Untold, 390 * MS);
+        }
+    }
+    assert_eq!(straight, 0, "no misses of 400 went round crowded links, straight to the origin");
+}
