Serve ageing copies while fills are short; ask a sibling where the origin is spared

Cause: src/brain.rs, send: no copy past its fresh time was ever asked for, as the settings' graceFor was not read (the first deployment has no class that ages); try_next: where the origin was to be spared, the source became the cache itself, also where a sibling may give what it holds.

Change: graceFor is read (a class without a fresh time takes no age from it). Where a fill is turned away, or a quarter of the fills that may be out are out, a copy may be as old as fresh time and grace, within any purge's bound; renewed behind as before. A miss that the origin is spared is asked of the object's home in a neighbouring location, which gives what it holds.

--- a/lab/src/model.rs
+++ b/lab/src/model.rs
@@ -333,6 +333,7 @@
         repeat: Repeat::Safe,
         repeat_window: 0,
         fresh: 0,
+        grace: 0,
         pass_on: false,
     };
     let zones = s.hubs + s.edges;
--- a/lab/src/storm.rs
+++ b/lab/src/storm.rs
@@ -219,6 +219,7 @@
         repeat,
         repeat_window: account.classes[n].window_ms * 1_000,
         fresh: 0,
+        grace: 0,
         pass_on: n == 2,
     };
     Settings {
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -90,6 +90,8 @@
     #[serde(default)]
     lifetime_by_class: Vec<Time>,
     #[serde(default)]
+    grace_for: Vec<Time>,
+    #[serde(default)]
     pass_on: Vec<bool>,
     #[serde(default)]
     siblings: String,
@@ -174,6 +176,7 @@
                 repeat,
                 repeat_window: c.repeat_window,
                 fresh: domain.lifetime_by_class.get(k).copied().unwrap_or_default(),
+                grace: domain.grace_for.get(k).copied().unwrap_or_default(),
                 pass_on: domain.pass_on.get(k).copied().unwrap_or_default(),
             });
         }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -173,6 +173,8 @@
     query: bool,
     /// The summary said that the cache holds it.
     listed: bool,
+    /// A copy past its fresh time will do, as no fill is to be had.
+    ageing: bool,
     time_out: Time,
 }
 
@@ -668,7 +670,14 @@
         let draws: [u64; 3] = std::array::from_fn(|_| self.draw(1 << 32));
         if kept && plan.source != plan.cache && !self.routes[0].admit(now, draws[0]) {
             // Guards against a jam of fills, whatever slows them: look at what is held, else refuse at once.
-            (plan.source, plan.query, plan.hold_only, plan.time_out) = (plan.cache, false, false, 0);
+            plan = Plan {
+                source: plan.cache,
+                query: false,
+                hold_only: false,
+                time_out: 0,
+                ageing: true,
+                ..plan
+            };
         } else if kept && tier >= 2 {
             let room = plan.listed || self.deep.free(draws[2]);
             let tried = &self.requests[&id].tried;
@@ -677,13 +686,16 @@
                 tier == 2 && self.lost > LOST && !plan.listed && !tried.contains(c) && quick(&self.servers[c])
             };
             let origin = self.tiers[3].iter().find(fit).copied();
+            let sibling =
+                self.sibling(now, self.requests[&id].key).filter(|c| !plan.listed && !tried.contains(c));
             let mut open = |tier: usize| self.routes[tier - 1].admit(now, draws[1]) && room;
             if !open(tier) {
                 // Guards against refusing for the parents' failures what the origin would bear, and against
                 // keeping a slow or stopped origin down: parents give what they hold.
                 let instead = origin.filter(|_| open(3));
-                plan.hold_only = instead.is_none();
-                plan.source = instead.unwrap_or(if tier == 3 { plan.cache } else { plan.source });
+                (plan.hold_only, plan.ageing) = (instead.is_none(), instead.is_none());
+                let held = || if tier == 3 { sibling.unwrap_or(plan.cache) } else { plan.source };
+                plan.source = instead.unwrap_or_else(held);
             }
         }
         // Guards against late answers for all where the caches' links are asked for more than they carry.
@@ -700,7 +712,10 @@
         let purged = self.purged_at(now, request.key, request.group);
         // A copy older than the purge must not serve; 0 would mean the class's own limit.
         let max_age = purged.map_or(0, |at| now.saturating_sub(at + PURGE_MARGIN).max(1));
-        let max_age = if class.fresh > 0 { max_age.min(class.fresh) } else { max_age };
+        // With a quarter of the fills out that may be, or few allowed at all, an older copy beats a fill.
+        let ageing = plan.ageing || self.deep.out * 4.0 + 2.0 > self.deep.most;
+        let oldest = class.fresh + class.grace * (ageing && class.fresh > 0) as Time;
+        let max_age = [max_age, oldest].into_iter().filter(|&age| age > 0).min().unwrap_or(0);
         // Guards against servers that take work and answer nothing: seen when the answer is far from in time.
         let overdue = OVERDUE * request.aim_at.saturating_sub(now);
         let time_out = if plan.query || class.repeat != Repeat::Safe { plan.time_out } else { overdue };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -54,6 +54,8 @@
     pub repeat_window: Time,
     /// Fresh time of a copy; 0 means no limit.
     pub fresh: Time,
+    /// How much longer a copy may be served, at less worth.
+    pub grace: Time,
     /// Never kept: it runs at the origin.
     pub pass_on: bool,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,7 +10,7 @@
 //!
 //! let class = Class {
 //!     aim: 400_000, aim_stretch: 2.0, deadline: 3_000_000, worth: 1.0, late_worth: 0.2,
-//!     repeat: Repeat::Safe, repeat_window: 0, fresh: 0, pass_on: false,
+//!     repeat: Repeat::Safe, repeat_window: 0, fresh: 0, grace: 0, pass_on: false,
 //! };
 //! let settings = Settings {
 //!     index: 0, routers: 1, zone: 0, classes: vec![class], routers_by_zone: vec![1],
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -21,6 +21,7 @@
         repeat: Repeat::Safe,
         repeat_window: 5 * SECOND,
         fresh: 0,
+        grace: 0,
         pass_on: false,
     };
     let write = Class { aim_stretch: 0.0, repeat: Repeat::SingleShot, pass_on: true, ..kept.clone() };
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -409,3 +409,62 @@
     }
     assert_eq!(straight, 0, "no misses of 400 went round crowded links, straight to the origin");
 }
+
+/// A front whose class 0 goes stale in seconds, with no parent above; the origin's fills time out, or are in time.
+fn stale_in_seconds(slow: bool) -> Front {
+    let mut choice = Settings { notes: Notes::None, parent_kind: None, ..settings() };
+    choice.classes[0].fresh = 12 * SECOND;
+    choice.classes[0].grace = 30 * SECOND;
+    let list = members().into_iter().filter(|m| m.kind != PARENT).collect();
+    let mut front = Front::new(choice, list);
+    for object in 1_000..1_200 {
+        front.now += 40 * MS;
+        let mut actions = front.request(0, object).1;
+        for attempt in 0..8 {
+            let Some(fetch) = fetches(&actions).first().cloned() else { break };
+            let (outcome, elapsed) = match (fetch.source.0, slow) {
+                (40, true) => (Outcome::TimedOut, 900 * MS),
+                (40, false) => (Outcome::Served, 90 * MS),
+                _ => (Outcome::Miss, 10 * MS),
+            };
+            actions = front.outcome_after(&fetch, attempt, outcome, Note::Untold, elapsed);
+        }
+    }
+    front
+}
+
+#[test]
+fn ageing_copies_do_while_fills_are_short_and_never_past_a_purge_or_the_grace() {
+    let mut calm = stale_in_seconds(false);
+    let ages: Vec<Time> = (5_000..5_040).map(|k| only_fetch(&calm.request(0, k).1).max_age).collect();
+    assert!(ages.iter().all(|&a| a == 12 * SECOND), "fresh copies alone while fills are in time: {ages:?}");
+
+    let mut short = stale_in_seconds(true);
+    let ages: Vec<Time> =
+        (5_000..5_040).flat_map(|k| fetches(&short.request(0, k).1)).map(|f| f.max_age).collect();
+    assert!(ages.len() > 30 && ages.iter().all(|&a| a == 42 * SECOND), "fresh time and grace: {ages:?}");
+    short.event(Event::Purged { object: None, group: 5, ago: 2 * SECOND });
+    let ages: Vec<Time> =
+        (6_000..6_040).flat_map(|k| fetches(&short.request(0, k).1)).map(|f| f.max_age).collect();
+    assert!(ages.iter().all(|&a| (1..=2 * SECOND).contains(&a)), "the purge binds first: {ages:?}");
+}
+
+#[test]
+fn a_class_without_a_fresh_time_takes_no_age_from_its_grace() {
+    let mut choice = Settings { siblings: Siblings::None, ..settings() };
+    choice.classes[0].grace = 30 * SECOND;
+    let mut front = Front::new(choice, members());
+    fault(&mut front, 1_000, 100, Outcome::Full, Note::OriginFailed);
+    let ages: Vec<Time> =
+        (5_000..5_040).flat_map(|k| fetches(&front.request(0, k).1)).map(|f| f.max_age).collect();
+    assert!(ages.iter().all(|&a| a == 0), "good until it is purged: {ages:?}");
+}
+
+#[test]
+fn a_fill_that_the_origin_is_spared_is_asked_of_a_sibling_that_gives_what_it_holds() {
+    let mut short = stale_in_seconds(true);
+    let sent: Vec<Fetch> = (5_000..5_060).flat_map(|k| fetches(&short.request(0, k).1)).collect();
+    let held = sent.iter().filter(|f| f.hold_only && (20..23).contains(&f.source.0)).count();
+    assert!(held > 20, "{held} of {} ask the neighbours", sent.len());
+    assert!(sent.iter().all(|f| f.source.0 == 40 || f.hold_only), "nobody else is told to fill");
+}
