--- /dev/null
+++ b/proxy/src/backoff.rs
@@ -0,0 +1,85 @@
+//! How long to wait before asking again. Pure: no clock, no I/O; the caller waits.
+//!
+//! Guards against a fleet in step: whatever breaks one proxy's connection breaks all of them at the same moment, and
+//! proxies that wait the same time come back as one wave. Each draws its waits from its own seed.
+
+use std::time::Duration;
+
+/// The range of the first wait, and the longest: news counts as told 2 s after a break, so that three waits fit in it.
+const FIRST: (Duration, Duration) = (Duration::from_millis(10), Duration::from_millis(150));
+const LONGEST: Duration = Duration::from_millis(500);
+
+/// Waits that are drawn evenly from a range which doubles with each failure, up to a bound.
+pub struct Backoff {
+    random: u64,
+    most: Duration,
+}
+
+impl Backoff {
+    pub fn new(seed: u64) -> Backoff {
+        Backoff { random: seed, most: FIRST.1 }
+    }
+
+    /// It went well: the next failure is the first again.
+    pub fn well(&mut self) {
+        self.most = FIRST.1;
+    }
+
+    /// The wait after one more failure.
+    pub fn failed(&mut self) -> Duration {
+        let most = self.most;
+        self.most = (most * 2).min(LONGEST);
+        // Splitmix64: an even draw from consecutive states, whatever the seed.
+        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut x = self.random;
+        x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        x ^= x >> 31;
+        let part = (x >> 11) as f64 / (1u64 << 53) as f64;
+        FIRST.0 + (most - FIRST.0).mul_f64(part)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// When 100 proxies ask for the `nth` time after one break of all their connections, in ms.
+    fn asks(nth: usize) -> Vec<u128> {
+        (0..100u64)
+            .map(|proxy| {
+                let mut backoff = Backoff::new(proxy.wrapping_mul(0x1234_5678_9abc_def1));
+                (0..nth).map(|_| backoff.failed()).sum::<Duration>().as_millis()
+            })
+            .collect()
+    }
+
+    #[test]
+    fn a_hundred_proxies_whose_connections_break_at_once_do_not_come_back_in_step() {
+        for nth in 1..6 {
+            let times = asks(nth);
+            let busiest =
+                (0..3_000).map(|at| times.iter().filter(|&&t| t >= at && t < at + 10).count()).max();
+            assert!(busiest <= Some(20), "{busiest:?} of 100 within 10 ms at ask {nth}");
+        }
+    }
+
+    #[test]
+    fn no_wait_is_under_the_first_bound_or_over_the_last_and_three_fit_in_two_seconds() {
+        for seed in 0..1_000 {
+            let mut backoff = Backoff::new(seed);
+            let waits: Vec<Duration> = (0..20).map(|_| backoff.failed()).collect();
+            assert!(waits.iter().all(|w| (FIRST.0..=LONGEST).contains(w)), "{waits:?}");
+            assert!(waits[0] <= FIRST.1 && waits[..3].iter().sum::<Duration>() < Duration::from_secs(2));
+            backoff.well();
+            assert!(backoff.failed() <= FIRST.1, "after a success the first range again");
+        }
+    }
+
+    #[test]
+    fn the_same_seed_draws_the_same_waits() {
+        let mut a = Backoff::new(7);
+        let mut b = Backoff::new(7);
+        assert!((0..10).all(|_| a.failed() == b.failed()));
+    }
+}
--- a/proxy/src/journal.rs
+++ b/proxy/src/journal.rs
@@ -1,6 +1,7 @@
 //! The journal service: a gapless long poll. Events are taken in order, each once; an answer that is lost or
 //! garbled is asked for again, and never makes the list shorter.
 
+use crate::backoff::Backoff;
 use foldmux::interface::{Member, ObjectId, State};
 use foldmux_core::clock::Clock;
 use foldmux_core::desk::{DeskHandle, Notice};
@@ -19,7 +20,6 @@
 const MAX_WAIT: Duration = Duration::from_millis(1_000);
 /// Beyond the wait, until an answer counts as lost.
 const PATIENCE: Duration = Duration::from_millis(700);
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
 /// Longest answer: some thousand events.
 const ANSWER: usize = 1024 * 1024;
 
@@ -168,21 +168,20 @@
         Some(Listed { member, name: line.name.as_str().into(), address })
     }
 
-    /// Polls for as long as the program runs, wherever the service is.
-    pub fn follow(mut self, service: &Service) {
+    /// Polls for as long as the program runs, wherever the service is; asks again as `backoff` says.
+    pub fn follow(mut self, service: &Service, mut backoff: Backoff) {
         let mut buffer = vec![0; ANSWER];
-        let mut backoff = BACKOFF.0;
         loop {
             let (address, moves) = service.current();
             match self.poll(service, address, moves, &mut buffer) {
-                Ok(()) => backoff = BACKOFF.0,
+                Ok(()) => backoff.well(),
                 // What ended with the move to another address is no news of the service.
-                Err(_) if service.pause(moves, Duration::ZERO) => backoff = BACKOFF.0,
+                Err(_) if service.pause(moves, Duration::ZERO) => backoff.well(),
                 Err(why) => {
-                    tracing::warn!("journal service: {why}; asking again in {backoff:?}");
+                    let wait = backoff.failed();
+                    tracing::warn!("journal service: {why}; asking again in {wait:?}");
                     service.hang_up();
-                    service.pause(moves, backoff);
-                    backoff = (backoff * 2).min(BACKOFF.1);
+                    service.pause(moves, wait);
                 }
             }
             self.pool.sweep();
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -1,5 +1,6 @@
 //! Puts the parts together and runs them: the desk, the core, the journal, the fronts, and the end.
 
+use crate::backoff::Backoff;
 use crate::config::{self, Config};
 use crate::journal::{Journal, Names, Service};
 use crate::limits;
@@ -125,7 +126,8 @@
         tracing::warn!("no journal service: the list stays as configured");
     }
     let followed = service.clone();
-    named("journal", 512 * 1024, move || journal.follow(&followed))?;
+    let backoff = Backoff::new(config.seed);
+    named("journal", 512 * 1024, move || journal.follow(&followed, backoff))?;
 
     let mut processor = match processor {
         Some(processor) => {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -131,7 +131,7 @@
 
 #[test]
 fn shares_under_one_request_sum_up_under_the_limit_and_starve_no_restarted_zone() {
-    for fronts in [1, 3, 12, 60] {
+    for fronts in [1, 3, 12, 60, 100] {
         let (each, all) = cold_zone(fronts, 20, 20);
         // Each front asks for 20 transfers of 0.2 s a second, 4 in all of which each of four caches bears one.
         let capacity = fronts as f64;
@@ -146,7 +146,7 @@
 
 #[test]
 fn fronts_take_turns_where_a_share_is_under_one_request() {
-    for fronts in [12, 60] {
+    for fronts in [12, 60, 100] {
         // Four transfers of 0.2 s a second: 0.2 for each cache, and the budget of a front at first 0.06.
         let (each, all) = cold_zone(fronts, 4, 20);
         for (k, &sent) in each.iter().enumerate() {
