--- a/src/brain.rs
+++ b/src/brain.rs
@@ -602,7 +602,8 @@
     fn sibling(&self, now: Time, key: u64) -> Option<CacheId> {
         let fit = |c: &&CacheId| self.gives(now, &self.servers[c]);
         let order = |c: &&CacheId| (mix(key ^ self.servers[c].member.zone as u64), score(key, **c), **c);
-        self.tiers[1].iter().filter(fit).max_by_key(order).copied()
+        let allowed = self.settings.siblings == Siblings::Any;
+        self.tiers[1].iter().filter(fit).max_by_key(order).copied().filter(|_| allowed)
     }
 
     /// A cache that may be named as the source of what it holds.
@@ -613,7 +614,7 @@
     /// The query's time-out, if its four conditions hold: time left, attempts, budget, recent payoff.
     fn query_time(&self, now: Time, request: &Request, draw: u64) -> Option<Time> {
         let s = &self.settings;
-        if s.siblings != Siblings::Any || request.queried || request.attempts + 2 > s.max_attempts {
+        if request.queried || request.attempts + 2 > s.max_attempts {
             return None;
         }
         let left = request.aim_at.min(request.deadline).saturating_sub(now) as f64;
