Give the last room for fills to small objects first

Seen: on the second deployment a slow origin refuses 23 to 44% of requests; its fills are short, not links or cores (load reports: hits late 1 in 100 at any load). The limit on fills that are out (src/brain.rs, Limit::free) gave its room to whoever came first, though a large object holds it ten times as long as a small one.

Change: a fill that is larger than the mean may use the room in proportion only (mean over the classes that are kept, as told or seen); smaller ones as before, and every one goes where nothing is out or fills are in time.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -69,6 +69,8 @@
 const ROUTE_RATE: f64 = 3.0;
 /// What a late answer takes off a limit and what one in time adds to it: a seventh may be late.
 const LIMIT_STEPS: (f64, f64) = (0.6, 0.1);
+/// A fill of so many times the mean size may take the last room; larger ones less, in proportion.
+const DEAR: f64 = 1.0;
 /// Least limit; its roots that may be out beyond it, as one front's few come in bunches.
 const LIMIT_ROOM: (f64, f64) = (0.5, 2.0);
 /// An answer is late from this part of the wait that is still in time: crowding shows before it hurts.
@@ -266,8 +268,10 @@
 }
 
 impl Limit {
-    fn free(&self, draw: u64) -> bool {
-        self.out < self.most + LIMIT_ROOM.1 * self.most.sqrt() + (draw % 1024) as f64 / 1024.0 - 0.5
+    /// Room for one more, where only a part of it may be used.
+    fn free(&self, draw: u64, part: f64) -> bool {
+        let room = self.most + LIMIT_ROOM.1 * self.most.sqrt();
+        self.out < room * part + (draw % 1024) as f64 / 1024.0 - 0.5
     }
 
     fn ended(&mut self, late: Option<bool>) {
@@ -466,6 +470,13 @@
         }
     }
 
+    /// Mean sending time over the classes that are kept (us).
+    fn mean_work(&self) -> f64 {
+        let kept = self.class_work.iter().zip(&self.settings.classes).filter(|(_, c)| !c.pass_on);
+        let (sum, n) = kept.fold((0.0, 0.0), |(sum, n), (work, _)| (sum + work, n + 1.0));
+        sum / f64::max(n, 1.0)
+    }
+
     fn tier_of(&self, cache: CacheId) -> usize {
         self.servers.get(&cache).map_or(0, |s| self.tier(&s.member))
     }
@@ -680,7 +691,9 @@
                 ..plan
             };
         } else if kept && tier >= 2 {
-            let room = plan.listed || self.deep.free(draws[2]);
+            // With little room the small come first: more are answered for what the origin and the links carry.
+            let part = (DEAR * self.mean_work() / self.requests[&id].work.max(1.0)).min(1.0);
+            let room = plan.listed || self.deep.free(draws[2], part);
             let tried = &self.requests[&id].tried;
             let quick = |s: &Server| s.ready() && s.heard_latency(now).is_none_or(|l| l < SLOW.1);
             let fit = |c: &&CacheId| {
@@ -700,7 +713,7 @@
             }
         }
         // Guards against late answers for all where the caches' links are asked for more than they carry.
-        let crowded = first && !self.near.free(draws[2]);
+        let crowded = first && !self.near.free(draws[2], 1.0);
         if kept && (crowded || (plan.source == plan.cache && !first)) {
             return self.give_up(id, out);
         }
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -468,3 +468,32 @@
     assert!(held > 20, "{held} of {} ask the neighbours", sent.len());
     assert!(sent.iter().all(|f| f.source.0 == 40 || f.hold_only), "nobody else is told to fill");
 }
+
+#[test]
+fn with_little_room_small_fills_go_before_large_ones_which_still_go_when_nothing_is_out() {
+    let lone = Settings { siblings: Siblings::None, notes: Notes::None, parent_kind: None, ..settings() };
+    // Fills of both sizes, all in time or all late; then what of these sizes is let go while all stay out.
+    let let_go = |late: bool, sizes: &[f64]| {
+        let list = members().into_iter().filter(|m| m.kind != PARENT).collect();
+        let mut front = Front::new(lone.clone(), list);
+        for k in 0..200u64 {
+            front.now += 100 * MS;
+            for fetch in fetches(&front.request_of(0, 1_000 + k, if k % 2 == 0 { 4_000.0 } else { 400.0 }).1)
+            {
+                let elapsed = if late { 2_500 * MS } else { 120 * MS };
+                front.outcome_after(&fetch, 0, Outcome::Served, Note::Untold, elapsed);
+            }
+        }
+        front.now += 5 * SECOND;
+        let filled = |(k, &size): (usize, &f64)| {
+            let actions = front.request_of(0, 9_000 + k as u64, size).1;
+            fetches(&actions).iter().any(|f| f.source.0 == 40)
+        };
+        sizes.iter().enumerate().map(filled).collect::<Vec<bool>>()
+    };
+    assert!(let_go(false, &[4_000.0; 40]).iter().all(|&go| go), "all go while fills are in time");
+    let (small, large) = (let_go(true, &[400.0; 40]), let_go(true, &[8_000.0; 40]));
+    let count = |went: &[bool]| went.iter().filter(|&&go| go).count();
+    assert!((1..count(&small)).contains(&count(&large)), "{} small, {} large", count(&small), count(&large));
+    assert!(count(&small) < 8, "few at all, where all are late: {}", count(&small));
+}
