Fill the first misses of a front that is told no sizes

Cause: where no size is told and no class was seen, sending time and mean are 0, and the part of the room that a fill may use came out as 0 (src/brain.rs, try_next, since small fills go first). Change: only what is larger than the mean is given less, and classes that were not seen do not count in it. A test without the front fails without this.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -470,9 +470,10 @@
         }
     }
 
-    /// Mean sending time over the classes that are kept (us).
+    /// Mean sending time over the classes that are kept and were seen (us).
     fn mean_work(&self) -> f64 {
-        let kept = self.class_work.iter().zip(&self.settings.classes).filter(|(_, c)| !c.pass_on);
+        let both = self.class_work.iter().zip(&self.settings.classes);
+        let kept = both.filter(|(&work, class)| !class.pass_on && work > 0.0);
         let (sum, n) = kept.fold((0.0, 0.0), |(sum, n), (work, _)| (sum + work, n + 1.0));
         sum / f64::max(n, 1.0)
     }
@@ -692,7 +693,8 @@
             };
         } else if kept && tier >= 2 {
             // With little room the small come first: more are answered for what the origin and the links carry.
-            let part = (DEAR * self.mean_work() / self.requests[&id].work.max(1.0)).min(1.0);
+            let (usual, work) = (DEAR * self.mean_work(), self.requests[&id].work);
+            let part = if work > usual { usual / work } else { 1.0 };
             let room = plan.listed || self.deep.free(draws[2], part);
             let tried = &self.requests[&id].tried;
             let quick = |s: &Server| s.ready() && s.heard_latency(now).is_none_or(|l| l < SLOW.1);
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -497,3 +497,15 @@
     assert!((1..count(&small)).contains(&count(&large)), "{} small, {} large", count(&small), count(&large));
     assert!(count(&small) < 8, "few at all, where all are late: {}", count(&small));
 }
+
+#[test]
+fn a_front_that_is_new_and_told_no_sizes_fills_its_first_misses() {
+    let mut choice =
+        Settings { siblings: Siblings::None, notes: Notes::None, client_kb_per_s: 0.0, ..settings() };
+    choice.classes.push(choice.classes[0].clone());
+    let mut front = Front::new(choice, members());
+    for (k, class) in [0, 2, 0, 2, 2].into_iter().enumerate() {
+        let fetch = only_fetch(&front.request_of(class, 50 + k as u64, 0.0).1);
+        assert!((30..41).contains(&fetch.source.0) && !fetch.hold_only, "{k}: {fetch:?}");
+    }
+}
