--- a/proxy/src/backoff.rs
+++ b/proxy/src/backoff.rs
@@ -3,6 +3,7 @@
 //! Guards against a fleet in step: whatever breaks one proxy's connection breaks all of them at the same moment, and
 //! proxies that wait the same time come back as one wave. Each draws its waits from its own seed.
 
+use foldmux::books::Draws;
 use std::time::Duration;
 
 /// The range of the first wait, and the longest: news counts as told 2 s after a break, so that three waits fit in it.
@@ -11,13 +12,13 @@
 
 /// Waits that are drawn evenly from a range which doubles with each failure, up to a bound.
 pub struct Backoff {
-    random: u64,
+    draws: Draws,
     most: Duration,
 }
 
 impl Backoff {
     pub fn new(seed: u64) -> Backoff {
-        Backoff { random: seed, most: FIRST.1 }
+        Backoff { draws: Draws::new(seed), most: FIRST.1 }
     }
 
     /// It went well: the next failure is the first again.
@@ -29,13 +30,7 @@
     pub fn failed(&mut self) -> Duration {
         let most = self.most;
         self.most = (most * 2).min(LONGEST);
-        // Splitmix64: an even draw from consecutive states, whatever the seed.
-        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut x = self.random;
-        x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        x ^= x >> 31;
-        let part = (x >> 11) as f64 / (1u64 << 53) as f64;
+        let part = (self.draws.draw() >> 11) as f64 / (1u64 << 53) as f64;
         FIRST.0 + (most - FIRST.0).mul_f64(part)
     }
 }
--- a/src/books.rs
+++ b/src/books.rs
@@ -1,9 +1,30 @@
-//! Book-keeping of the router: what was done lately, and which cache holds what. It owns its figures and nothing
-//! else: no decision is made here, no clock is read, and the bounds are the caller's.
+//! Book-keeping of the router: what was done lately, which cache holds what, and the draws that stand for chance. It
+//! owns its figures and nothing else: no decision is made here, no clock is read, and the bounds are the caller's.
 
 use crate::interface::{CacheId, Time};
 use std::collections::{HashMap, VecDeque};
 
+/// Spreads the bits of a number: the same in every instance.
+pub fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58476d1ce4e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d049bb133111eb);
+    x ^ (x >> 31)
+}
+
+/// Numbers that look like chance, the same for the same seed (SplitMix64).
+pub struct Draws(u64);
+
+impl Draws {
+    pub fn new(seed: u64) -> Draws {
+        Draws(seed)
+    }
+
+    pub fn draw(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e3779b97f4a7c15);
+        mix(self.0)
+    }
+}
+
 /// Work done lately, as transfers at full pace, faded over `over`; unbiased from its first sample on.
 #[derive(Clone, Copy)]
 pub struct Rate {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -4,7 +4,7 @@
 //! placed (summary, then home cache) and its miss given a source (listed holder, sibling, parent, origin);
 //! its outcomes are learned from; it is tried again or given up; a tick looks for what is overdue.
 
-use crate::books::{Entry, Rate, Table};
+use crate::books::{mix, Draws, Entry, Rate, Table};
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -51,7 +51,7 @@
 const COLD_SAFETY: f64 = 0.6;
 /// Time over which work is averaged (us): longer than a restarted location takes to warm.
 const RATE_OVER: f64 = 20_000_000.0;
-/// Steps of the fronts' turns from front to front and from window to window.
+/// Steps of the fronts' turns from front to front and from window to window: both spread evenly.
 const TURN: (f64, f64) = (0.618_034, 0.414_214);
 /// Part of the work asked for that caches can bear at least, with every client asking three times.
 const ASKED_BEARABLE: f64 = 0.33;
@@ -62,16 +62,15 @@
 /// A cache is full from this multiple of the transfers that it carries at full pace.
 const SPILL_AT: f64 = 1.3;
 /// A route's open share: the cut on a failed or late use, the gain with each request that wants it (a seventh
-/// may fail), the least: enough to see a recovery. Steps get smaller above so many requests a second.
+/// may fail), the least: enough to see a recovery. Steps get smaller above so many requests a second, as the
+/// outcomes of those that are out tell nothing new.
 const ROUTE_CUT: f64 = 0.25;
 const ROUTE_GAIN: f64 = 0.04;
 const ROUTE_LEAST: f64 = 0.02;
 const ROUTE_RATE: f64 = 3.0;
 /// What a late answer takes off a limit and what one in time adds to it: a seventh may be late.
 const LIMIT_STEPS: (f64, f64) = (0.6, 0.1);
-/// A fill of so many times the mean size may take the last room; larger ones less, in proportion.
-const DEAR: f64 = 1.0;
-/// Least limit; its roots that may be out beyond it, as one front's few come in bunches.
+/// Least limit; its roots that may be out beyond it: one front's few come in bunches, all fronts' don't.
 const LIMIT_ROOM: (f64, f64) = (0.5, 2.0);
 /// An answer is late from this part of the wait that is still in time: crowding shows before it hurts.
 const LATE: f64 = 0.5;
@@ -112,7 +111,8 @@
         }
     }
 
-    /// Guards against a server that fails more than its like (dead, hung, erring, cut off).
+    /// Guards against whatever makes a server fail more than its like: dead, hung, erring, or cut off. What
+    /// all of a tier have in common (a failing origin, lost answers) is no reason to leave any of them.
     fn note(&mut self, now: Time, failed: bool, dead: bool, like: &mut f64) {
         let sample = failed as u8 as f64;
         self.fail += FAIL_SMOOTH.0 * (sample - self.fail);
@@ -182,7 +182,7 @@
 
 pub struct Router {
     settings: Settings,
-    random: u64,
+    random: Draws,
     running: bool,
     servers: BTreeMap<CacheId, Server>,
     /// Listed servers by tier: own caches, siblings of the nearest locations, parents, the origin.
@@ -220,18 +220,13 @@
 /// The part of a table's key that is the object; its part stands above.
 const OBJECT_BITS: u64 = (1 << 52) - 1;
 
-fn mix(mut x: u64) -> u64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58476d1ce4e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d049bb133111eb);
-    x ^ (x >> 31)
-}
-
-/// Rendezvous score: each front finds the same home.
+/// Rendezvous score of a cache for a key: each front finds the same home.
 fn score(key: u64, cache: CacheId) -> u64 {
     mix(key ^ mix(cache.0 as u64 + 0x9e3779b97f4a7c15))
 }
 
-/// A way, open to a part of the requests, less with late and failed uses, more with those that want it.
+/// A way that requests take: fills of the zone, by way of parents, straight from the origin. It is open to a
+/// part of them, which shrinks with late and failed uses and grows with requests that want it.
 #[derive(Clone, Copy)]
 struct Route {
     open: f64,
@@ -261,7 +256,8 @@
     }
 }
 
-/// How many attempts of a sort may be out: the same part of them is late whatever a front's share is.
+/// How many attempts of a sort may be out: less with each late one, a little more with each in time, so that
+/// the same part of them is late whatever a front's share of the traffic is.
 struct Limit {
     most: f64,
     out: f64,
@@ -298,7 +294,7 @@
         let class_work = vec![0.0; settings.classes.len()];
         Router {
             settings,
-            random: seed,
+            random: Draws::new(seed),
             running: false,
             servers: BTreeMap::new(),
             tiers: Default::default(),
@@ -350,8 +346,7 @@
     }
 
     fn draw(&mut self, below: u64) -> u64 {
-        self.random = self.random.wrapping_add(0x9e3779b97f4a7c15);
-        mix(self.random) % below.max(1)
+        self.random.draw() % below.max(1)
     }
 
     // ---- members, purges ----
@@ -374,6 +369,7 @@
                 self.servers.entry(cache).or_default().member = member;
             }
         }
+        // Kept by tier on list changes, so that a request's work does not grow with the fleet.
         let apart = |s: &Server| self.hubs_apart(s.member.zone);
         let siblings = || self.servers.values().filter(|s| self.tier(&s.member) == 1);
         let nearest = siblings().map(apart).min();
@@ -610,12 +606,25 @@
         }
     }
 
-    /// The sibling asked: the object's home cache in a neighbouring zone. Cold ones are left alone.
-    fn sibling(&self, now: Time, key: u64) -> Option<CacheId> {
+    /// The origin, for what the parents' way turns away: where they lose fills and it is not known to lag.
+    fn round_parents(&self, now: Time, request: &Request) -> Option<CacheId> {
+        let quick = |s: &Server| s.heard_latency(now).is_none_or(|l| l < SLOW.1);
+        let well = |c: &&CacheId| self.servers[c].ready() && quick(&self.servers[c]);
+        let fit = |c: &&CacheId| !request.tried.contains(c) && well(c);
+        self.tiers[3].iter().find(fit).filter(|_| self.lost > LOST).copied()
+    }
+
+    /// The sibling asked: the object's home cache in a neighbouring zone, same hub first. Cold siblings are
+    /// left alone: a look counts as load too.
+    fn sibling(&self, now: Time, request: &Request) -> Option<CacheId> {
+        if self.settings.siblings != Siblings::Any {
+            return None;
+        }
+        let key = request.key;
         let fit = |c: &&CacheId| self.gives(now, &self.servers[c]);
         let order = |c: &&CacheId| (mix(key ^ self.servers[c].member.zone as u64), score(key, **c), **c);
-        let allowed = self.settings.siblings == Siblings::Any;
-        self.tiers[1].iter().filter(fit).max_by_key(order).copied().filter(|_| allowed)
+        let home = self.tiers[1].iter().filter(fit).max_by_key(order);
+        home.filter(|c| !request.tried.contains(c)).copied()
     }
 
     /// A cache that may be named as the source of what it holds.
@@ -661,7 +670,7 @@
             }
         }
         if !plan.listed && !pass_on {
-            if let Some(source) = self.sibling(now, request.key).filter(|c| !request.tried.contains(c)) {
+            if let Some(source) = self.sibling(now, request) {
                 if let Some(time_out) = self.query_time(now, request, draw) {
                     return Some(Plan { source, hold_only: true, query: true, time_out, ..plan });
                 }
@@ -683,35 +692,25 @@
         let draws: [u64; 3] = std::array::from_fn(|_| self.draw(1 << 32));
         if kept && plan.source != plan.cache && !self.routes[0].admit(now, draws[0]) {
             // Guards against a jam of fills, whatever slows them: look at what is held, else refuse at once.
-            plan = Plan {
-                source: plan.cache,
-                query: false,
-                hold_only: false,
-                time_out: 0,
-                ageing: true,
-                ..plan
-            };
+            (plan.source, plan.query, plan.hold_only, plan.time_out) = (plan.cache, false, false, 0);
+            plan.ageing = true;
         } else if kept && tier >= 2 {
-            // With little room the small come first: more are answered for what the origin and the links carry.
-            let (usual, work) = (DEAR * self.mean_work(), self.requests[&id].work);
-            let part = if work > usual { usual / work } else { 1.0 };
+            // With little room the small come first: more are answered for what origin and links carry.
+            let (mean, work) = (self.mean_work(), self.requests[&id].work);
+            let part = if work > mean { mean / work } else { 1.0 };
             let room = plan.listed || self.deep.free(draws[2], part);
-            let tried = &self.requests[&id].tried;
-            let quick = |s: &Server| s.ready() && s.heard_latency(now).is_none_or(|l| l < SLOW.1);
-            let fit = |c: &&CacheId| {
-                tier == 2 && self.lost > LOST && !plan.listed && !tried.contains(c) && quick(&self.servers[c])
-            };
-            let origin = self.tiers[3].iter().find(fit).copied();
-            let sibling =
-                self.sibling(now, self.requests[&id].key).filter(|c| !plan.listed && !tried.contains(c));
-            let mut open = |tier: usize| self.routes[tier - 1].admit(now, draws[1]) && room;
-            if !open(tier) {
+            if !(self.routes[tier - 1].admit(now, draws[1]) && room) {
                 // Guards against refusing for the parents' failures what the origin would bear, and against
                 // keeping a slow or stopped origin down: parents give what they hold.
-                let instead = origin.filter(|_| open(3));
+                let request = &self.requests[&id];
+                let (instead, held) = match tier {
+                    3 if plan.listed => (None, plan.cache),
+                    3 => (None, self.sibling(now, request).unwrap_or(plan.cache)),
+                    _ => (self.round_parents(now, request).filter(|_| !plan.listed), plan.source),
+                };
+                let instead = instead.filter(|_| self.routes[2].admit(now, draws[1]) && room);
                 (plan.hold_only, plan.ageing) = (instead.is_none(), instead.is_none());
-                let held = || if tier == 3 { sibling.unwrap_or(plan.cache) } else { plan.source };
-                plan.source = instead.unwrap_or_else(held);
+                plan.source = instead.unwrap_or(held);
             }
         }
         // Guards against late answers for all where the caches' links are asked for more than they carry.
@@ -907,11 +906,13 @@
             self.lost += SMOOTH * ((lost || outcome == Outcome::Error) as u8 as f64 - self.lost);
         }
         if ((late && from_source) || lost) && filling && !attempt.plan.query {
-            // A parent's own copy that comes late, or no fill place, speaks of the link; else of the origin.
+            // A parent's own copy that comes late, or no fill place, speaks of the link; else of the source.
             let filled = note == Note::Filled && self.settings.notes == Notes::All;
             let link = !attempt.above || attempt.plan.hold_only || filled || note == Note::NoFillPlace;
             self.routes[if link { 0 } else { above.max(2) - 1 }].cut();
-            (note == Note::OriginFailed).then(|| self.routes[2].cut());
+            if note == Note::OriginFailed {
+                self.routes[2].cut();
+            }
         }
         let failed = matches!(outcome, Outcome::Error | Outcome::TimedOut);
         let blamed = if untold { asked && failed } else { note.source_fault() };
@@ -964,8 +965,8 @@
     /// The final answer at once. Refused where trying again is harmless, else failed.
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(request) = self.requests.get(&id) else { return };
-        let out_still = self.attempts.range((id, 0)..=(id, u8::MAX)).next().is_some();
-        let ran = request.may_have_run.is_some() || request.within.is_some() || out_still;
+        let mut left = self.attempts.range((id, 0)..=(id, u8::MAX));
+        let ran = request.may_have_run.is_some() || request.within.is_some() || left.next().is_some();
         let refuse = match self.settings.classes[request.class].repeat {
             Repeat::Safe | Repeat::Keyed(Group::All) => true,
             _ => !ran,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -69,12 +69,42 @@
 
 /// Own caches 10 to 13, the neighbour's 20 to 22, parents 30 and 31, origin 40.
 pub fn members() -> Vec<Member> {
-    let mut all: Vec<Member> = (10..14).map(|c| member(c, 2, 0)).collect();
-    all.extend((20..23).map(|c| member(c, 3, 0)));
-    all.extend([member(30, 0, PARENT), member(31, 1, PARENT), member(40, 0, ORIGIN)]);
+    members_of(4, 3, 2)
+}
+
+/// So many own caches from 10 on, the neighbour's from 20, parents from 30, and the origin 40.
+pub fn members_of(own: u32, others: u32, parents: u32) -> Vec<Member> {
+    let mut all: Vec<Member> = (0..own).map(|k| member(10 + k, 2, 0)).collect();
+    all.extend((0..others).map(|k| member(20 + k, 3, 0)));
+    all.extend((0..parents).map(|k| member(30 + k, k as usize % 2, PARENT)));
+    all.push(member(40, 0, ORIGIN));
     all
 }
 
+/// `zones` locations of `each` caches behind two hubs, `parents` parents and an origin.
+pub fn fleet(zones: u32, each: u32, parents: u32) -> (Settings, Vec<Member>) {
+    let mut list: Vec<Member> = Vec::new();
+    for zone in 0..zones {
+        list.extend((0..each).map(|k| member(1_000 + zone * 100 + k, 2 + zone as usize, 0)));
+    }
+    list.extend((0..parents).map(|k| member(10 + k, k as usize % 2, PARENT)));
+    list.push(member(9, 0, ORIGIN));
+    let mut by_zone = vec![0, 0];
+    by_zone.extend((0..zones).map(|_| 5));
+    let hub_of = (0..zones + 2).map(|z| (z % 2) as usize).collect();
+    (Settings { routers: zones * 5, routers_by_zone: by_zone, hub_of, ..settings() }, list)
+}
+
+/// Settings in which nothing stands above but the origin, and pages are fresh for 12 s and good for 30 s more.
+pub fn stale_pages() -> Settings {
+    let mut choice = Settings { notes: Notes::None, parent_kind: None, max_attempts: 6, ..settings() };
+    choice.classes[0].fresh = 12 * SECOND;
+    choice.classes[0].grace = 30 * SECOND;
+    choice.drain_grace = 2 * SECOND;
+    (choice.cache_fall_multiple, choice.fall_window) = (2.0, 1_500 * MS);
+    choice
+}
+
 pub struct Front {
     pub router: Router,
     pub now: Time,
--- a/tests/deployments.rs
+++ b/tests/deployments.rs
@@ -7,15 +7,6 @@
 use proptest::test_runner::RngSeed;
 use std::collections::BTreeMap;
 
-/// The caches of zone 2 (own) and 3, parents, the origin: as many as are drawn.
-fn members_of(own: u32, others: u32, parents: u32) -> Vec<Member> {
-    let mut all: Vec<Member> = (0..own).map(|k| member(10 + k, 2, 0)).collect();
-    all.extend((0..others).map(|k| member(20 + k, 3, 0)));
-    all.extend((0..parents).map(|k| member(30 + k, k as usize % 2, PARENT)));
-    all.push(member(40, 0, ORIGIN));
-    all
-}
-
 fn repeats() -> impl Strategy<Value = Repeat> {
     prop_oneof![
         Just(Repeat::Safe),
@@ -207,16 +198,6 @@
     }
 }
 
-/// Settings in which nothing stands above but the origin, and pages are fresh for 12 s and good for 30 s more.
-fn stale_pages() -> Settings {
-    let mut choice = Settings { notes: Notes::None, parent_kind: None, max_attempts: 6, ..settings() };
-    choice.classes[0].fresh = 12 * SECOND;
-    choice.classes[0].grace = 30 * SECOND;
-    choice.drain_grace = 2 * SECOND;
-    (choice.cache_fall_multiple, choice.fall_window) = (2.0, 1_500 * MS);
-    choice
-}
-
 #[test]
 fn a_never_twice_request_whose_connection_breaks_is_sent_again_only_where_nothing_was_written() {
     let list = members_of(4, 0, 0);
--- a/tests/fleets.rs
+++ b/tests/fleets.rs
@@ -4,20 +4,6 @@
 use foldmux::interface::*;
 use std::collections::BTreeMap;
 
-/// `zones` locations of `each` caches behind two hubs, `parents` parents and an origin.
-fn fleet(zones: u32, each: u32, parents: u32) -> (Settings, Vec<Member>) {
-    let mut list: Vec<Member> = Vec::new();
-    for zone in 0..zones {
-        list.extend((0..each).map(|k| member(1_000 + zone * 100 + k, 2 + zone as usize, 0)));
-    }
-    list.extend((0..parents).map(|k| member(10 + k, k as usize % 2, PARENT)));
-    list.push(member(9, 0, ORIGIN));
-    let mut by_zone = vec![0, 0];
-    by_zone.extend((0..zones).map(|_| 5));
-    let hub_of = (0..zones + 2).map(|z| (z % 2) as usize).collect();
-    (Settings { routers: zones * 5, routers_by_zone: by_zone, hub_of, ..settings() }, list)
-}
-
 /// Plays requests that end in every way, and checks each has one final answer from fit servers of the zone.
 fn play(choice: Settings, list: Vec<Member>) -> usize {
     let zone = choice.zone;
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -412,11 +412,7 @@
 
 /// A front whose class 0 goes stale in seconds, with no parent above; the origin's fills time out, or are in time.
 fn stale_in_seconds(slow: bool) -> Front {
-    let mut choice = Settings { notes: Notes::None, parent_kind: None, ..settings() };
-    choice.classes[0].fresh = 12 * SECOND;
-    choice.classes[0].grace = 30 * SECOND;
-    let list = members().into_iter().filter(|m| m.kind != PARENT).collect();
-    let mut front = Front::new(choice, list);
+    let mut front = Front::new(stale_pages(), members_of(4, 3, 0));
     for object in 1_000..1_200 {
         front.now += 40 * MS;
         let mut actions = front.request(0, object).1;
@@ -474,8 +470,7 @@
     let lone = Settings { siblings: Siblings::None, notes: Notes::None, parent_kind: None, ..settings() };
     // Fills of both sizes, all in time or all late; then what of these sizes is let go while all stay out.
     let let_go = |late: bool, sizes: &[f64]| {
-        let list = members().into_iter().filter(|m| m.kind != PARENT).collect();
-        let mut front = Front::new(lone.clone(), list);
+        let mut front = Front::new(lone.clone(), members_of(4, 3, 0));
         for k in 0..200u64 {
             front.now += 100 * MS;
             for fetch in fetches(&front.request_of(0, 1_000 + k, if k % 2 == 0 { 4_000.0 } else { 400.0 }).1)
--- a/tests/hundred.rs
+++ b/tests/hundred.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 const FRONTS: u32 = 100;
-const ZONES: usize = 8;
+const ZONES: u32 = 8;
 const CACHES: u32 = 6;
 
 /// What one second of all fronts together came to.
@@ -19,37 +19,17 @@
     advice: BTreeMap<u64, usize>,
 }
 
-/// Eight locations of six caches, four parents at two hubs, an origin.
-fn list() -> Vec<Member> {
-    let mut all: Vec<Member> = Vec::new();
-    for zone in 0..ZONES {
-        all.extend((0..CACHES).map(|k| member(100 * (zone as u32 + 1) + k, 2 + zone, 0)));
-    }
-    all.extend((0..4).map(|k| member(30 + k, k as usize % 2, PARENT)));
-    all.push(member(40, 0, ORIGIN));
-    all
-}
-
+/// Eight locations of six caches, four parents at two hubs, an origin: 12 or 13 fronts in each.
 fn fronts() -> Vec<Front> {
-    let of_zone = |z: usize| FRONTS / ZONES as u32 + (z < FRONTS as usize % ZONES) as u32;
+    let (choice, list) = fleet(ZONES, CACHES, 4);
+    let of_zone = |z: u32| FRONTS / ZONES + (z < FRONTS % ZONES) as u32;
     let routers_by_zone: Vec<u32> = [0, 0].into_iter().chain((0..ZONES).map(of_zone)).collect();
+    let base = Settings { routers: FRONTS, routers_by_zone, notes: Notes::None, max_attempts: 4, ..choice };
     let one = |index: u32| {
-        let (zone, routers_by_zone) = (2 + index as usize % ZONES, routers_by_zone.clone());
-        let hub_of = (0..ZONES + 2).map(|z| z % 2).collect();
-        let (notes, max_attempts) = (Notes::None, 4);
-        let choice = Settings {
-            index,
-            routers: FRONTS,
-            zone,
-            routers_by_zone,
-            hub_of,
-            notes,
-            max_attempts,
-            ..settings()
-        };
+        let choice = Settings { index, zone: 2 + (index % ZONES) as usize, ..base.clone() };
         let router = foldmux::Router::new(choice, 0x51ed_2701 * (index as u64 + 1));
         let mut front = Front { router, now: START, next: 0 };
-        front.event(Event::Members { full: true, members: list() });
+        front.event(Event::Members { full: true, members: list.clone() });
         front
     };
     (0..FRONTS).map(one).collect()
@@ -84,13 +64,13 @@
 }
 
 fn above(fetch: &Fetch) -> bool {
-    (30..41).contains(&fetch.source.0)
+    (9..14).contains(&fetch.source.0)
 }
 
 /// New objects: siblings hold nothing, parents that are well fill in 100 ms, the origin in 90 ms.
 fn calm(fetch: &Fetch, _: Time) -> (Outcome, Time) {
     match fetch.source.0 {
-        40 => (Outcome::Served, 140 * MS),
+        9 => (Outcome::Served, 140 * MS),
         _ if above(fetch) && !fetch.hold_only => (Outcome::Served, 150 * MS),
         _ => (Outcome::Miss, 5 * MS),
     }
@@ -104,13 +84,13 @@
         assert_eq!(sum.refused, 0, "a calm second: {sum:?}");
     }
     let down = |fetch: &Fetch, now: Time| match (fetch.source.0, above(fetch)) {
-        (30..=33, true) => (Outcome::TimedOut, 500 * MS),
+        (10..=13, true) => (Outcome::TimedOut, 500 * MS),
         _ => calm(fetch, now),
     };
     let seconds: Vec<Second> = (0..12).map(|_| second(&mut fleet, &mut key, down)).collect();
     let (asked, refused) = seconds[4..].iter().fold((0, 0), |(a, r), s| (a + s.asked, r + s.refused));
     assert!(refused * 4 < asked, "{refused} of {asked} refused though the origin serves");
-    let tries = seconds[10].by_source.range(30..34).map(|(_, n)| n).sum::<usize>();
+    let tries = seconds[10].by_source.range(10..14).map(|(_, n)| n).sum::<usize>();
     assert!(tries * 2 < seconds[10].asked, "{tries} tries of dead parents in a second of {asked}");
 }
 
@@ -123,13 +103,13 @@
     }
     for front in fleet.iter_mut() {
         let boot = front.now;
-        let cold = Member { boot, ..member(100, 2, 0) };
+        let cold = Member { boot, ..member(1_000, 2, 0) };
         front.event(Event::Members { full: false, members: vec![cold] });
     }
     // 13 fronts of its location ask 8 a second each of 50 ms: what six caches did before, a sixth for each.
     let share = 13.0 * 8.0 / 6.0;
     let sums: Vec<usize> = (0..10)
-        .map(|_| second(&mut fleet, &mut key, held).by_cache.get(&100).copied().unwrap_or_default())
+        .map(|_| second(&mut fleet, &mut key, held).by_cache.get(&1_000).copied().unwrap_or_default())
         .collect();
     for (k, &sent) in sums.iter().enumerate() {
         let ramp = 0.2 + 0.8 * (k + 1) as f64 / 16.0;
@@ -156,7 +136,7 @@
 fn a_parent_that_comes_back_is_used_again_by_all_within_the_time_that_a_latency_counts() {
     let (mut fleet, mut key) = (fronts(), 1);
     let one_down = |fetch: &Fetch, now: Time| match fetch.source.0 {
-        30 => (Outcome::TimedOut, 500 * MS),
+        10 => (Outcome::TimedOut, 500 * MS),
         _ => calm(fetch, now),
     };
     for _ in 0..10 {
@@ -164,8 +144,8 @@
     }
     let shunned = second(&mut fleet, &mut key, one_down);
     let share = |s: &Second| {
-        let parents: usize = s.by_source.range(30..34).map(|(_, n)| n).sum();
-        s.by_source.get(&30).copied().unwrap_or_default() as f64 / parents.max(1) as f64
+        let parents: usize = s.by_source.range(10..14).map(|(_, n)| n).sum();
+        s.by_source.get(&10).copied().unwrap_or_default() as f64 / parents.max(1) as f64
     };
     assert!(share(&shunned) < 0.15, "a dead parent is left out: {:?}", shunned.by_source);
     for _ in 0..20 {
