--- a/http1/src/io.rs
+++ b/http1/src/io.rs
@@ -1,6 +1,6 @@
 //! Reading and writing on a blocking socket until a moment, which bounds the whole and not each call.
 
-use crate::answer::Broken;
+use crate::bounds::Broken;
 use std::io::{ErrorKind, Read, Write};
 use std::net::TcpStream;
 use std::time::Instant;
--- a/http1/src/lib.rs
+++ b/http1/src/lib.rs
@@ -1,12 +1,14 @@
 //! The little HTTP/1.1 that foldmux speaks on plain sockets, parsed by httparse.
 //!
 //! Owns: reading one answer ([`answer`]) and one request ([`request`]) within bounds on bytes and time, and writing
-//! within a time. Answers count only when their length proves them whole.
+//! within a time; what bounds both ([`bounds`]). Answers count only when their length proves them whole.
 //!
 //! May not: hold connections, know classes, caches or trees, or decide what an answer means.
 
 pub mod answer;
+pub mod bounds;
 pub mod io;
 pub mod request;
 
-pub use answer::{read_response, Broken, Response};
+pub use answer::{read_response, Response};
+pub use bounds::Broken;
--- a/http1/src/request.rs
+++ b/http1/src/request.rs
@@ -1,6 +1,6 @@
 //! The head of one request, read within bounds. What a front or a hub wants of it, it takes as it is shown.
 
-use crate::answer::{Broken, MOST_HEAD, MOST_HEADERS};
+use crate::bounds::{Broken, MOST_HEAD, MOST_HEADERS};
 use crate::io::read_some;
 use std::net::TcpStream;
 use std::time::Instant;
