--- a/http1/src/answer.rs
+++ b/http1/src/answer.rs
@@ -1,6 +1,7 @@
 //! One answer read whole into one buffer, or its head alone.
 
-use crate::bounds::{Broken, MOST_HEAD, MOST_HEADERS};
+use crate::bounds::MOST_HEADERS;
+pub use crate::bounds::{Broken, MOST_HEAD};
 use crate::io::read_some;
 use std::net::TcpStream;
 use std::ops::Range;
--- a/hub/src/purges.rs
+++ b/hub/src/purges.rs
@@ -1,7 +1,7 @@
 //! The journal service's purges: a gapless long poll, each event once, in order. What it tells of hosts is passed
 //! over. An answer that is lost or can't be read is asked for again, from the last event taken.
 
-use crate::run::Hub;
+use crate::state::Hub;
 use foldmux_http1::io::write_all;
 use foldmux_http1::read_response;
 use serde::Deserialize;
--- a/hub/src/run.rs
+++ b/hub/src/run.rs
@@ -1,199 +1,27 @@
 //! The hub's parts put together, its threads, and its end.
 
-use crate::book::{Book, Fill};
-use crate::fetch;
-use crate::flight::{Copy, Verdict};
+use crate::book::Book;
 use crate::links::Links;
 use crate::purges;
 use crate::serve;
+use crate::state::{Bytes, Hub};
 use crate::tally::{add, Tally};
-use crossbeam_channel::{bounded, Sender};
+use crate::threads::{self, STACK};
 use foldmux_hierarchy::epochs::Taken;
-use foldmux_hierarchy::fence::Fences;
-use foldmux_hierarchy::ledger::{Key, Limits, Next};
+use foldmux_hierarchy::ledger::Limits;
 use foldmux_hierarchy::way::Signer;
-use foldmux_hierarchy::Time;
-use foldmux_operator::{Hierarchy, Operator, Relay};
+use foldmux_operator::Operator;
 use quick_cache::sync::Cache;
-use quick_cache::Weighter;
-use std::collections::HashMap;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// Stack of a thread that reads a connection or makes a fetch: bytes are on the heap.
-const STACK: usize = 160 * 1024;
-/// The hub's clock at its start: what began before has room behind it.
-const ORIGIN: Time = 1 << 40;
-/// Classes that are told apart.
-const CLASSES_MOST: usize = 256;
-/// A thread that has no fetch for so long ends.
-const IDLE_THREAD: Duration = Duration::from_secs(5);
 /// How often leases and former trees are looked at.
 const SWEEP: Duration = Duration::from_millis(25);
 
-/// A copy's weight: its bytes, and what keeping it costs.
-#[derive(Clone)]
-struct Bytes;
-
-impl Weighter<Key, Arc<Copy>> for Bytes {
-    fn weight(&self, _: &Key, copy: &Arc<Copy>) -> u64 {
-        copy.meta.length as u64 + 256
-    }
-}
-
-pub struct Hub {
-    pub name: String,
-    pub domain: String,
-    /// When this start began, as all its answers say.
-    pub since_ms: u64,
-    pub relay: Relay,
-    pub lease: Duration,
-    pub signer: Signer,
-    pub book: Book,
-    pub links: Links,
-    pub tally: Tally,
-    pub leaving: AtomicBool,
-    copies: Cache<Key, Arc<Copy>, Bytes>,
-    classes: Mutex<HashMap<String, u32>>,
-    fences: Mutex<Fences>,
-    started: Instant,
-    open: AtomicUsize,
-    /// Threads that wait for a fetch.
-    idle: Mutex<Vec<Sender<(Fill, u32)>>>,
-    /// Fetches under way, by what their threads need: a successor takes over where one dies.
-    fills: Mutex<HashMap<foldmux_hierarchy::ledger::FetchId, Fill>>,
-    sockets: Mutex<HashMap<u64, Arc<TcpStream>>>,
-}
-
-impl Hub {
-    pub fn now(&self) -> Time {
-        ORIGIN + self.started.elapsed().as_micros() as Time
-    }
-
-    pub fn unix_ms(&self) -> u64 {
-        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
-    }
-
-    /// A class's number; none where there are too many.
-    pub fn class(&self, name: &str) -> Option<u32> {
-        let mut classes = self.classes.lock().unwrap_or_else(PoisonError::into_inner);
-        if let Some(class) = classes.get(name) {
-            return Some(*class);
-        }
-        let next = classes.len();
-        (next < CLASSES_MOST).then(|| {
-            classes.insert(name.to_string(), next as u32);
-            next as u32
-        })
-    }
-
-    /// A purge that this hub was told of: no fill that comes from here on is answered from an older copy.
-    pub fn purge(&self, object: Option<u64>, stamp_ms: u64) {
-        self.fences.lock().unwrap_or_else(PoisonError::into_inner).purge(object, stamp_ms);
-        add(&self.tally.purges);
-    }
-
-    /// When a copy must have been born at the earliest for a fill that allows so much, by the purges told here.
-    pub fn bound(&self, object: u64, born_after: u64) -> u64 {
-        self.fences.lock().unwrap_or_else(PoisonError::into_inner).oldest(object).max(born_after)
-    }
-
-    /// The copy that is held, if it is young enough.
-    pub fn held(&self, key: Key, born_after: u64) -> Option<Arc<Copy>> {
-        self.copies.get(&key).filter(|copy| copy.meta.born_ms >= born_after)
-    }
-
-    /// Keeps a copy; never an older one in a younger one's place.
-    pub fn keep(&self, key: Key, born_after: u64, copy: Copy) {
-        if copy.meta.born_ms >= born_after && self.held(key, copy.meta.born_ms).is_none() {
-            self.copies.insert(key, Arc::new(copy));
-        }
-    }
-
-    /// Gives a fetch to a thread that is idle, or to a new one; where there is none to be had, all who wait are told
-    /// at once. The ledger bounds the fetches, and so the threads.
-    pub fn fetch(self: &Arc<Self>, fill: Fill, attempt: u32) {
-        self.fills.lock().unwrap_or_else(PoisonError::into_inner).insert(fill.id, fill.clone());
-        let job = (fill.clone(), attempt);
-        let idle = self.idle().pop();
-        let Some(job) = idle.map_or(Some(job.clone()), |idle| idle.send(job).err().map(|back| back.0)) else {
-            return;
-        };
-        let (hub, (sender, jobs)) = (self.clone(), bounded(1));
-        let body = move || {
-            let mut next = Some(job);
-            while let Some((fill, attempt)) = next.take() {
-                let end = Ended(&hub, fill.id);
-                // Guards against a fault in one fetch ending the thread: who waits goes on by the ledger's lease.
-                let _ = catch_unwind(AssertUnwindSafe(|| fetch::fetch(&hub, &fill, attempt)));
-                drop(end);
-                hub.idle().push(sender.clone());
-                next = jobs.recv_timeout(IDLE_THREAD).ok();
-                if next.is_none() {
-                    let listed = hub.idle().extract_if(.., |idle| idle.same_channel(&sender)).count() > 0;
-                    // Guards against a job that was on its way as the wait ended: who took this thread off the list
-                    // is about to send it.
-                    next = if listed { None } else { jobs.recv_timeout(IDLE_THREAD).ok() };
-                }
-            }
-        };
-        if thread::Builder::new().name("fetch".into()).stack_size(STACK).spawn(body).is_err() {
-            let _ = Ended(self, fill.id);
-            self.book.done(&fill, attempt, Some(Verdict::Full));
-        }
-    }
-
-    fn idle(&self) -> MutexGuard<'_, Vec<Sender<(Fill, u32)>>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Fetches whose thread died or hangs go on with another; former trees whose time is over go.
-    fn sweep(self: &Arc<Self>) {
-        let now = self.now();
-        for (id, attempt) in self.book.lapsed(now) {
-            let fill = self.fills.lock().unwrap_or_else(PoisonError::into_inner).get(&id).cloned();
-            let Some(fill) = fill else { continue };
-            if let Next::Again(next) = self.book.failed(now, &fill, attempt, Verdict::Late) {
-                self.fetch(fill, next);
-            }
-        }
-        self.book.look(now).into_iter().for_each(|address| self.links.close(address));
-    }
-
-    pub fn rewire(&self, hierarchy: Hierarchy) -> Result<Taken, String> {
-        self.book.rewire(self.now(), hierarchy).map_err(|refused| refused.to_string())
-    }
-
-    /// What `GET /v2/state` tells.
-    pub fn state(&self) -> String {
-        let [former, fetches, waits, sources] = self.book.sizes();
-        format!(
-            "node {}\ntree {}\nformer_trees {former}\nfetches_open {fetches}\nwaits_open {waits}\nsources {sources}\n\
-             connections_open {}\ncopies {}\ncopies_bytes {}\n{}",
-            self.name,
-            self.book.stamp(),
-            self.open.load(Ordering::SeqCst),
-            self.copies.len(),
-            self.copies.weight(),
-            self.tally.lines()
-        )
-    }
-}
-
-/// The end of a fetch's thread, however it ends.
-struct Ended<'a>(&'a Hub, foldmux_hierarchy::ledger::FetchId);
-
-impl Drop for Ended<'_> {
-    fn drop(&mut self) {
-        self.0.fills.lock().unwrap_or_else(PoisonError::into_inner).remove(&self.1);
-    }
-}
-
 /// A hub that serves.
 pub struct Running {
     pub hub: Arc<Hub>,
@@ -252,7 +80,7 @@
             if hub.leaving.load(Ordering::SeqCst) && hub.open.load(Ordering::SeqCst) == 0 {
                 return;
             }
-            hub.sweep();
+            threads::sweep(&hub);
             drop(hub);
             thread::sleep(SWEEP);
         }
