End the limits' circle: checks by what they look at, the table's look-up apart

check and table named each other for the list of fronts; it is the account's now. check.rs is five files (fault, check, names, single, together), table.rs two; core/src/limits.rs is split with it.

--- /dev/null
+++ b/core/src/limits/tests.rs
@@ -0,0 +1,86 @@
+//! Places that go to whoever waits, and tables that change in service.
+
+use super::*;
+use foldmux::interface::Fetch;
+use foldmux_limits::table::{Draft, Said};
+use foldmux_limits::values::{Concurrency, Layer};
+use foldmux_limits::Account;
+use std::sync::mpsc::channel;
+
+fn table(places: u64) -> Table {
+    let layer = Layer {
+        concurrency: Some(Concurrency::Fixed { most: places }),
+        queue: Some(4),
+        queue_age_ms: Some(60_000),
+        attempts: Some(2),
+        keep: Some(1),
+        attempt_ms: Some(200),
+        ..Layer::default()
+    };
+    let said = Said { at: "f:1".into(), value: ("formula-card".to_string(), layer) };
+    Table::new(&Account::default(), &Draft { classes: vec![said], ..Draft::default() })
+}
+
+fn limiter() -> Arc<Limiter> {
+    let repeats = vec![Repeat::Safe, Repeat::Safe, Repeat::Keyed(foldmux::interface::Group::All)];
+    Limiter::new(table(1), Clock::default(), "turku".into(), repeats)
+}
+
+fn held(entered: Entered) -> Held {
+    match entered {
+        Entered::In(held) | Entered::Waits(held, _) => held,
+        _ => panic!("no place and no wait"),
+    }
+}
+
+#[test]
+fn a_place_goes_to_whoever_waits_also_when_it_was_granted_and_never_heard_of() {
+    let limiter = limiter();
+    let (tell, told) = channel();
+    let enter = || {
+        let tell = tell.clone();
+        limiter.enter(
+            1,
+            "",
+            "msgpack",
+            Box::new(move |has| {
+                let _ = tell.send(has);
+            }),
+        )
+    };
+    assert!(matches!(limiter.enter(0, "", "msgpack", Box::new(|_| ())), Entered::Free), "no limits were set");
+    let first = held(enter());
+    let (second, third) = (held(enter()), held(enter()));
+    assert_eq!(limiter.sizes(), [1, 2]);
+    drop(first);
+    assert_eq!((told.recv(), limiter.sizes()), (Ok(true), [1, 1]));
+    // It had a place, and its client left before it heard of it.
+    drop(second);
+    assert_eq!((told.recv(), limiter.sizes()), (Ok(true), [1, 0]));
+    drop(third);
+    assert_eq!(limiter.sizes(), [0, 0]);
+}
+
+#[test]
+fn another_table_holds_for_those_that_come_and_not_for_those_that_are_open() {
+    let limiter = limiter();
+    let mut old = held(limiter.enter(1, "", "dns", Box::new(|_| ())));
+    limiter.swap(Table::new(&Account::default(), &Draft::default()));
+    assert!(matches!(limiter.enter(1, "", "dns", Box::new(|_| ())), Entered::Free));
+    let mut fetch = Fetch {
+        id: foldmux::interface::RequestId(1),
+        cache: foldmux::interface::CacheId(1),
+        time_out: 900_000,
+        source: foldmux::interface::CacheId(2),
+        keep: 3,
+        max_age: 0,
+        join: false,
+        hold_only: false,
+        renew: true,
+    };
+    old.narrow(&mut fetch);
+    assert_eq!((fetch.time_out, fetch.keep, fetch.renew), (200_000, 1, true));
+    assert_eq!([0, 1, 2].map(|_| old.attempt()), [Allowed::Now, Allowed::Now, Allowed::No]);
+    drop(old);
+    assert_eq!(limiter.sizes(), [0, 0]);
+}
--- a/limits/benches/limits.rs
+++ b/limits/benches/limits.rs
@@ -3,7 +3,8 @@
 use foldmux_limits::check::check;
 use foldmux_limits::explore::{second_run, Setting};
 use foldmux_limits::gate::{place, Gate};
-use foldmux_limits::table::{Draft, Match, Route, Said, Standing, Table};
+use foldmux_limits::standing::Standing;
+use foldmux_limits::table::{Draft, Match, Route, Said, Table};
 use foldmux_limits::values::{Concurrency, Effective, Layer};
 use foldmux_limits::Account;
 
--- a/limits/src/account.rs
+++ b/limits/src/account.rs
@@ -1,6 +1,9 @@
 //! What the account allows at all: the platform's settings, or, where a file is checked without them, those of the
 //! installation that foldmux was built for.
 
+/// The fronts that a route may name.
+pub const FRONTS: [&str; 3] = ["msgpack", "dns", "ext_proc"];
+
 /// How far an attempt of a class may be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Repeat {
--- a/limits/src/lib.rs
+++ b/limits/src/lib.rs
@@ -1,6 +1,6 @@
 //! Limits by class and route: time-outs, attempts, budgets, concurrency, queues and rights to old copies.
 //!
-//! Owns: what an operator may set ([`values`]) and how it is inherited ([`table`]); every rule of the account as a named
+//! Owns: what an operator may set ([`values`]) and how it is inherited ([`table`], [`standing`]); every rule of the account as a named
 //! check ([`check`]), with a bounded search where arithmetic does not settle it ([`explore`]); the state that enforces
 //! limits, each piece bounded: token buckets ([`bucket`]), adaptive concurrency ([`adaptive`]), the age of what waits
 //! ([`wait`]), all of them together ([`gate`]); what is printed and exported ([`export`]).
@@ -14,8 +14,13 @@
 pub mod check;
 pub mod explore;
 pub mod export;
+pub mod fault;
 pub mod gate;
+mod names;
+mod single;
+pub mod standing;
 pub mod table;
+mod together;
 pub mod values;
 pub mod wait;
 
