--- /dev/null
+++ b/fronts/extproc/src/front.rs
@@ -0,0 +1,138 @@
+//! What all streams of this front share, and what is counted.
+
+use crate::answers::{Final, Ran};
+use crate::keyed::{unix_ms, Keeper, No};
+use crate::mapping::Map;
+use crate::parked::Parked;
+use crate::pb::ProcessingResponse;
+use foldmux::interface::{Repeat, Time};
+use foldmux_core::clock::span;
+use foldmux_core::tally::End;
+use foldmux_core::Core;
+use foldmux_repeats::ledger::{Refusal, Rule};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A class as it is served here.
+#[derive(Clone, Debug)]
+pub struct Class {
+    pub name: Arc<str>,
+    /// Its place among the module's classes, held as long as this front is.
+    pub place: Arc<usize>,
+    pub repeat: Repeat,
+    /// For keyed classes: how long the archive drops a repeat (us).
+    pub window: Time,
+    /// The longest that a client waits for one (us).
+    pub longest: Time,
+}
+
+/// What was counted, for the log.
+#[derive(Debug, Default)]
+pub struct Counts {
+    pub placed: AtomicU64,
+    pub refused: AtomicU64,
+    pub given_up: AtomicU64,
+    pub unusable: AtomicU64,
+    pub unmatched: AtomicU64,
+    pub again: AtomicU64,
+    pub faults: AtomicU64,
+    pub observed: AtomicU64,
+}
+
+pub struct Front {
+    pub core: Arc<Core>,
+    pub classes: Vec<Class>,
+    pub map: Map,
+    pub keeper: Arc<Keeper>,
+    pub parked: Parked,
+    /// This proxy in `Proxy-Status`.
+    pub name: String,
+    /// How long a decision may take; when the caller is asked for longer; how long a placement may be sent; how long a
+    /// stream may be silent.
+    pub patience: Duration,
+    pub slow_after: Duration,
+    pub good_for: Duration,
+    pub idle: Duration,
+    pub again: bool,
+    pub strict: bool,
+    /// How long after its last attempt a key's repeat may come (ms).
+    pub remember: u64,
+    pub attempts: u32,
+    /// Streams at once; those beyond are answered 429, and those beyond twice as many not at all.
+    pub streams: usize,
+    pub open: AtomicUsize,
+    /// What makes this process's ids unlike another's.
+    pub salt: u64,
+    pub serial: AtomicU64,
+    pub counts: Counts,
+}
+
+/// One of the streams that are open.
+pub(crate) struct Open(Arc<Front>, pub(crate) usize);
+
+impl Open {
+    pub(crate) fn take(front: &Arc<Front>) -> Open {
+        let before = front.open.fetch_add(1, Ordering::SeqCst);
+        Open(front.clone(), before)
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl Front {
+    pub(crate) fn count(&self, count: &AtomicU64) {
+        count.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn finally(&self, last: &Final) -> ProcessingResponse {
+        let (count, end) = match last.status {
+            400 => (&self.counts.unusable, End::Unusable),
+            404 => (&self.counts.unmatched, End::Unusable),
+            504 => (&self.counts.given_up, End::Failed),
+            _ => (&self.counts.refused, End::Refused),
+        };
+        self.count(count);
+        self.core.tally.end(None, end);
+        last.answer(&self.name)
+    }
+
+    pub(crate) fn no(&self, no: No, ran: Ran) -> Final {
+        let wait = match &no {
+            No::Ledger(Refusal::Running { until }) => {
+                until.saturating_sub(unix_ms()).saturating_mul(1_000).max(1)
+            }
+            _ => self.core.shed_wait,
+        };
+        let why = no.to_string();
+        match no {
+            No::Token(_) | No::Ledger(Refusal::OtherKey) => Final::unusable(&why, Ran::Maybe),
+            No::Ledger(
+                Refusal::WindowOver | Refusal::Unread | Refusal::TooMany | Refusal::Torn | Refusal::Replayed,
+            ) => Final::given_up(&why, Ran::Maybe),
+            No::Ledger(Refusal::Running { .. }) => Final::refused(&why, Ran::Maybe, wait),
+            No::Ledger(Refusal::Deciding | Refusal::Full) | No::Store(_) | No::NotLoaded => {
+                Final::refused(&why, ran, wait)
+            }
+        }
+    }
+
+    pub(crate) fn rule(&self, class: &Class) -> Rule {
+        Rule {
+            window: class.window / 1_000,
+            attempts: self.attempts.min(u8::MAX as u32) as u8,
+            good_for: self.good_for.as_millis() as u64,
+            runs_for: class.longest.div_ceil(1_000),
+            remember: self.remember,
+        }
+    }
+}
+
+/// A span of the module's from one of the operator's.
+pub fn us(ms: u64) -> Duration {
+    span(ms.saturating_mul(1_000))
+}
--- a/fronts/extproc/src/lib.rs
+++ b/fronts/extproc/src/lib.rs
@@ -1,7 +1,7 @@
 //! The external processor (`envoy.service.ext_proc.v3`): another proxy asks once for each request, sends it where it
 //! is told, and lets this front hear how it ended.
 //!
-//! Owns: its gRPC streams and the runtime that they run on ([`serve`]), the life of each ([`life`]), ways that were
+//! Owns: its gRPC streams and the runtime that they run on ([`serve`]), the life of each ([`life`], its decision in `place`), ways that were
 //! chosen for a caller's next attempt ([`parked`]), what is known of keyed attempts ([`keyed`]). Pure, in modules of
 //! their own: the order of messages ([`exchange`]), what a request asks for ([`mapping`]), what a response proves
 //! ([`outcome`]), the messages that go back ([`answers`]).
@@ -10,13 +10,17 @@
 //! The runtime is started by [`serve::Bound::serve`] alone, with the threads that the operator's file gives it.
 
 pub mod answers;
+mod attempt;
 pub mod check;
 pub mod exchange;
+mod front;
 pub mod keyed;
 pub mod life;
 pub mod mapping;
+mod next;
 pub mod outcome;
 pub mod parked;
+mod place;
 pub mod reflect;
 pub mod serve;
 
--- a/fronts/extproc/src/parked.rs
+++ b/fronts/extproc/src/parked.rs
@@ -1,7 +1,7 @@
 //! Ways that the module chose for a caller's next attempt, kept until the caller comes for them with its token, or for
 //! so long as they are good. Bounded; whatever is dropped here ends as one that was never sent.
 
-use crate::life::Attempt;
+use crate::attempt::Attempt;
 use foldmux_repeats::token::Mark;
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
