End the core's circle: inquiry, slot, orders, core, threads and request in one direction

attempt, desk and request named each other. What a front asks (inquiry), what others do to a request (slot) and what passes the desk (orders) stand below; core.rs is what requests share, threads.rs starts them, request.rs is one request's life.

--- a/core/src/attempt.rs
+++ b/core/src/attempt.rs
@@ -1,7 +1,9 @@
 //! One attempt, as the core hands it to whoever makes it.
 
-use crate::desk::Target;
-use crate::request::{Inquiry, Slot};
+use crate::inquiry::Inquiry;
+use crate::orders::Target;
+pub use crate::slot::Line;
+use crate::slot::Slot;
 use foldmux::interface::{Fetch, Outcome};
 use std::ops::Range;
 use std::time::Instant;
@@ -27,8 +29,3 @@
 pub trait Tries: Send + Sync {
     fn attempt(&self, attempt: &Attempt, buffer: &mut [u8]) -> (Outcome, Option<Got>);
 }
-
-/// The line of an attempt that is under way: cutting it wakes whoever waits on it, at once.
-pub trait Line: Send + Sync {
-    fn cut(&self);
-}
--- a/core/src/lent.rs
+++ b/core/src/lent.rs
@@ -2,9 +2,11 @@
 //! never waits: whoever holds it waits for orders and for the attempt's end, and hands both in.
 
 use crate::clock::span;
-use crate::desk::{Notice, Order, Orders, Target, ORDERS};
+use crate::core::Core;
+use crate::inquiry::{ask, Inquiry};
 use crate::members::Listed;
-use crate::request::{ask, Core, Inquiry, Slot};
+use crate::orders::{Notice, Order, Orders, Target, ORDERS};
+use crate::slot::Slot;
 use crossbeam_channel::bounded;
 use foldmux::interface::*;
 use std::sync::atomic::Ordering;
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -1,9 +1,9 @@
 //! The core: it knows no wire. One desk owns the module; each request is one function on a thread of its own.
 //!
-//! Owns: the module, its timers and the table of open requests ([`desk`]), the life of a request ([`request`]) and of
-//! one whose attempts somebody else makes ([`lent`]), the
-//! list of members ([`members`]), the limits in
-//! service ([`limits`]), the buffers ([`buffers`]), the clock ([`clock`]), the counts ([`tally`]).
+//! Owns: the module, its timers and the table of open requests ([`desk`]; what passes to and from it: [`orders`]), the life
+//! of a request ([`request`], on the threads of [`threads`]) and of one whose attempts somebody else makes ([`lent`]), what
+//! they share ([`core`]), the list of members ([`members`]), the limits in service ([`limits`]), the buffers
+//! ([`buffers`]), the clock ([`clock`]), the counts ([`tally`]).
 //!
 //! May not: open, read or write a socket, or know how a request came or an attempt is made. Fronts hand it an
 //! [`Inquiry`] and a [`Reply`]; whoever makes attempts implements [`attempt::Tries`]. It depends on the module and the limits'
@@ -12,13 +12,20 @@
 pub mod attempt;
 pub mod buffers;
 pub mod clock;
+pub mod core;
 pub mod desk;
+pub mod inquiry;
 pub mod lent;
 pub mod limits;
 pub mod members;
+pub mod orders;
 pub mod request;
+pub mod slot;
 pub mod tally;
+pub mod threads;
 
+pub use crate::core::Core;
 pub use attempt::{Attempt, Got, Tries};
 pub use desk::{Desk, DeskHandle};
-pub use request::{Answer, Core, Inquiry, Reply, Served};
+pub use inquiry::{Answer, Inquiry, Reply, Served};
+pub use slot::Slot;
