--- /dev/null
+++ b/pure/figures/src/chance.rs
@@ -0,0 +1,60 @@
+//! Seeded draws and the hash of rendezvous hashing: SplitMix64, from the library that rand's own crates come from, as its
+//! numbers are fixed for good. A hash that differs between builds would move every object's home.
+
+use rand_xoshiro::rand_core::{RngCore, SeedableRng};
+use rand_xoshiro::SplitMix64;
+
+/// The step of SplitMix64's state.
+const STEP: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// Spreads the bits of a number: the same in every instance. SplitMix64's output for the state `x`.
+pub fn mix(x: u64) -> u64 {
+    SplitMix64::seed_from_u64(x.wrapping_sub(STEP)).next_u64()
+}
+
+/// Rendezvous rank of a server for a key: each instance finds the same one highest.
+pub fn rank(key: u64, server: u64) -> u64 {
+    mix(key ^ mix(server.wrapping_add(STEP)))
+}
+
+/// Numbers that look like chance, the same for the same seed.
+pub struct Draws(SplitMix64);
+
+impl Draws {
+    pub fn new(seed: u64) -> Draws {
+        Draws(SplitMix64::seed_from_u64(seed))
+    }
+
+    pub fn draw(&mut self) -> u64 {
+        self.0.next_u64()
+    }
+}
+
+impl Default for Draws {
+    fn default() -> Draws {
+        Draws::new(0)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// The reference's first numbers for this seed; a table of homes in service rests on them.
+    #[test]
+    fn draws_are_splitmix64_s_and_mix_is_its_output_by_state() {
+        let mut draws = Draws::new(1_234_567);
+        let drawn: [u64; 3] = std::array::from_fn(|_| draws.draw());
+        assert_eq!(drawn, [6_457_827_717_110_365_317, 3_203_168_211_198_807_973, 9_817_491_932_198_370_423]);
+        assert_eq!(mix(1_234_567u64.wrapping_add(STEP)), drawn[0]);
+        let by_hand = |mut x: u64| {
+            x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+            x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+            x ^ (x >> 31)
+        };
+        for k in 0..1_000u64 {
+            let x = k.wrapping_mul(STEP) ^ (k << 50);
+            assert_eq!(mix(x), by_hand(x));
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,8 +48,7 @@
 //! Time is in microseconds. Events of one moment are handed over one by one; the actions are to
 //! be carried out in the order given. See [`interface`] for what each means.
 
-pub mod books;
-pub mod brain;
 pub mod interface;
+pub mod router;
 
-pub use brain::Router;
+pub use router::Router;
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -42,6 +42,17 @@
     assert!(is_above(second.source));
 }
 
+#[test]
+fn the_summary_is_bounded_and_drops_what_was_longest_unused() {
+    let mut front = Front::new(settings(), members());
+    for object in [77, 78].into_iter().chain(1_000..1_000 + 16_383) {
+        let fetch = only_fetch(&front.request(0, object).1);
+        front.outcome(&fetch, 0, Outcome::Served, Note::Filled);
+    }
+    let ranks = [77, 78].map(|object| only_fetch(&front.request(0, object).1).keep);
+    assert_eq!(ranks, [1, 2], "only what is listed ranks higher");
+}
+
 #[test]
 fn an_entry_expires_and_a_purge_a_new_boot_or_leaving_makes_it_void() {
     let void = |act: &dyn Fn(&mut Front, CacheId)| {
