A rig of real processes: lines, an auditing archive, faults from a seed, one checker

What many processes do together while parts fail could not be seen: the demos start two and count. The crate starts the program N times, each link through a line that delays, cuts one way, tears, repeats and resets for one dialler; an archive audits keyed runs by key and instance, and can be held at points; customers ask again elsewhere; a schedule comes from a seed; the record is JSON lines and one checker reads it.

--- /dev/null
+++ b/rig/src/fleet.rs
@@ -0,0 +1,243 @@
+//! A fleet of real processes with everything that they talk to, each link through a line.
+
+use crate::archive::{Archive, Policy};
+use crate::customer::Customer;
+use crate::line::{Control, Line, Way};
+use crate::process::{free, program, Process, Spec};
+use crate::record::{Event, Record};
+use crate::settings::{self, BOXES};
+use crate::who::Who;
+use foldmux_standins::journal::{hosts, Journal};
+use nix::sys::signal::Signal;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitStatus;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+/// How long a process may take to start, be well or end.
+pub const SOON: Duration = Duration::from_secs(20);
+
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub processes: usize,
+    pub sites: usize,
+    /// The first so many processes are seats.
+    pub seats: usize,
+    pub seed: u64,
+    /// Whether the processes are one fleet; else each is alone, and has no operator's file.
+    pub fleet: bool,
+    pub lease: Duration,
+    /// More lines of the operator's file.
+    pub operator: String,
+    pub archive: Policy,
+}
+
+impl Default for Plan {
+    fn default() -> Plan {
+        let (lease, operator, archive) = (Duration::from_millis(500), String::new(), Policy::default());
+        Plan { processes: 3, sites: 2, seats: 3, seed: 1, fleet: false, lease, operator, archive }
+    }
+}
+
+pub struct Fleet {
+    // In this order they end: the processes first.
+    running: Vec<Mutex<Option<Process>>>,
+    specs: Vec<Spec>,
+    /// By who dials, then by who is dialled.
+    peers: Vec<Vec<Line>>,
+    caches: Vec<Line>,
+    news: Line,
+    journal: Journal,
+    archive: Archive,
+    record: Record,
+    who: Who,
+    folder: PathBuf,
+}
+
+impl Fleet {
+    /// Starts everything; each process is well.
+    pub fn start(plan: &Plan) -> Result<Fleet, String> {
+        static NUMBER: AtomicU64 = AtomicU64::new(0);
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("foldmux-rig-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
+        let (record, who, program) = (Record::default(), Who::default(), program()?);
+        record.add(Event::Planned { seed: plan.seed, processes: plan.processes, sites: plan.sites });
+        let archive = Archive::start(plan.archive, &record, &who);
+        let line = |n: usize| Line::to(&format!("cache {n}"), archive.address(), &who);
+        let caches: Vec<Line> = (0..plan.sites * BOXES + 2).map(line).collect();
+        let journal = Journal::start();
+        let news = Line::to("journal", journal.address(), &who);
+        journal.tell(&hosts(true, &settings::hosts(plan, |n| caches[n].address)));
+        let own: Vec<SocketAddr> = (0..plan.processes).map(|_| free()).collect();
+        let count = if plan.fleet { plan.processes } else { 0 };
+        let peer = |from: usize, to: usize| Line::to(&format!("n{from} to n{to}"), own[to], &who);
+        let peers: Vec<Vec<Line>> = (0..count).map(|i| (0..count).map(|j| peer(i, j)).collect()).collect();
+        let key_file = folder.join("fleet.key");
+        std::fs::write(&key_file, "0123456789abcdef".repeat(4)).map_err(|e| e.to_string())?;
+        let spec = |process: usize| {
+            let listen = free();
+            let addresses = |lines: &Vec<Line>| -> Vec<SocketAddr> {
+                lines.iter().enumerate().map(|(n, l)| if n == process { own[n] } else { l.address }).collect()
+            };
+            let key_file = key_file.display().to_string();
+            let operator = peers.get(process).map(addresses);
+            let operator = operator.map(|to| settings::operator(plan, own[process], &to, &key_file));
+            let config = settings::config(plan, process, listen, news.address, &journal.known());
+            let (name, folder) = (settings::name(process), folder.join(settings::name(process)));
+            Spec { program: program.clone(), number: process, name, config, operator, listen, folder }
+        };
+        let specs: Vec<Spec> = (0..plan.processes).map(spec).collect();
+        let running = (0..plan.processes).map(|_| Mutex::default()).collect();
+        let fleet = Fleet { running, specs, peers, caches, news, journal, archive, record, who, folder };
+        (0..plan.processes).try_for_each(|n| fleet.restart(n))?;
+        (0..plan.processes).try_for_each(|n| fleet.well(n))?;
+        Ok(fleet)
+    }
+
+    fn slot(&self, process: usize) -> MutexGuard<'_, Option<Process>> {
+        self.running[process].lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn size(&self) -> usize {
+        self.specs.len()
+    }
+
+    /// Starts a process that is down, under the same name and at the same address; it may not be well yet.
+    pub fn restart(&self, process: usize) -> Result<(), String> {
+        let mut slot = self.slot(process);
+        if slot.is_none() {
+            *slot = Some(Process::start(&self.specs[process], &self.who, SOON)?);
+            self.record.add(Event::Started { process });
+        }
+        Ok(())
+    }
+
+    pub fn well(&self, process: usize) -> Result<(), String> {
+        self.slot(process).as_ref().map_or(Ok(()), |running| running.well(SOON))
+    }
+
+    pub fn kill(&self, process: usize) {
+        if let Some(running) = self.slot(process).take() {
+            // Written down first, so that nothing that follows from it comes before it.
+            self.record.add(Event::Killed { process });
+            running.kill();
+        }
+    }
+
+    fn signal(&self, process: usize, signal: Signal, event: Event) -> Result<(), String> {
+        let slot = self.slot(process);
+        let running = slot.as_ref().ok_or_else(|| format!("n{process} is down"))?;
+        self.record.add(event);
+        running.signal(signal)
+    }
+
+    pub fn pause(&self, process: usize) -> Result<(), String> {
+        self.signal(process, Signal::SIGSTOP, Event::Paused { process })
+    }
+
+    pub fn wake(&self, process: usize) -> Result<(), String> {
+        self.signal(process, Signal::SIGCONT, Event::Woken { process })
+    }
+
+    /// Tells it to leave and waits until it has.
+    pub fn leave(&self, process: usize) -> Result<ExitStatus, String> {
+        self.signal(process, Signal::SIGTERM, Event::Left { process })?;
+        let leaving = self.slot(process).take().ok_or("it is down")?;
+        let ended = leaving.ended(SOON);
+        self.record.add(Event::Ended { process });
+        ended
+    }
+
+    /// Another version beside it, on the same address under the same name; then the old one leaves.
+    pub fn upgrade(&self, process: usize) -> Result<ExitStatus, String> {
+        let mut slot = self.slot(process);
+        let next = Process::start(&self.specs[process], &self.who, SOON)?;
+        self.record.add(Event::Started { process });
+        let old = slot.replace(next);
+        drop(slot);
+        let old = old.ok_or_else(|| format!("n{process} was down"))?;
+        self.record.add(Event::Left { process });
+        old.signal(Signal::SIGTERM)?;
+        let ended = old.ended(SOON);
+        self.record.add(Event::Ended { process });
+        ended
+    }
+
+    /// Cuts what `from` sends to its peer `to`, whoever dialled; with [`Way::Both`], what it hears as well.
+    pub fn cut(&self, from: usize, to: usize, way: Way) {
+        let (line, way_word) = (format!("n{from} to n{to}"), way.word().to_string());
+        self.record.add(Event::Cut { line, way: way_word });
+        let turned = [Way::Back, Way::There, Way::Both][way as usize];
+        if let (Some(there), Some(back)) = (self.line(from, to), self.line(to, from)) {
+            there.cut(way);
+            back.cut(turned);
+        }
+    }
+
+    pub fn heal(&self, from: usize, to: usize) {
+        self.record.add(Event::Healed { line: format!("n{from} to n{to}") });
+        [self.line(from, to), self.line(to, from)].into_iter().flatten().for_each(|line| line.heal());
+    }
+
+    /// Cuts a process off from all caches and sources, or heals that.
+    pub fn cut_archive(&self, process: usize, cut: Option<Way>) {
+        let line = format!("n{process} to the archive");
+        self.record.add(match cut {
+            Some(way) => Event::Cut { line, way: way.word().to_string() },
+            None => Event::Healed { line },
+        });
+        self.caches.iter().map(|line| line.of(process)).for_each(|own| match cut {
+            Some(way) => own.cut(way),
+            None => own.heal(),
+        });
+    }
+
+    /// Between two peers, as the first dials; none where they are no fleet.
+    pub fn line(&self, from: usize, to: usize) -> Option<Control<'_>> {
+        self.peers.get(from)?.get(to).map(Line::all)
+    }
+
+    /// A process's line to the journal service.
+    pub fn news(&self, process: usize) -> Control<'_> {
+        self.news.of(process)
+    }
+
+    pub fn caches(&self) -> &[Line] {
+        &self.caches
+    }
+
+    pub fn archive(&self) -> &Archive {
+        &self.archive
+    }
+
+    pub fn journal(&self) -> &Journal {
+        &self.journal
+    }
+
+    pub fn record(&self) -> &Record {
+        &self.record
+    }
+
+    pub fn address(&self, process: usize) -> SocketAddr {
+        self.specs[process].listen
+    }
+
+    pub fn customer(&self, patience: Duration) -> Customer {
+        Customer::new(self.specs.iter().map(|spec| spec.listen).collect(), &self.record, patience)
+    }
+
+    /// What a process's log says; none while it is down.
+    pub fn log(&self, process: usize) -> Vec<String> {
+        self.slot(process).as_ref().map(|running| running.log.all()).unwrap_or_default()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.running.iter().for_each(|slot| drop(slot.lock().unwrap_or_else(PoisonError::into_inner).take()));
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
--- /dev/null
+++ b/rig/src/lib.rs
@@ -0,0 +1,24 @@
+//! Runs the real program many times on loopback, with stand-ins and a line between any two, breaks what a seed says, and
+//! reads the record of it.
+//!
+//! Owns: the processes ([`process`], [`fleet`]), the lines ([`line`], [`who`]), the archive that audits by key
+//! ([`archive`]), those who ask ([`customer`]), the faults and their order ([`schedule`], [`faults`]), the record ([`record`])
+//! and the one place where all invariants are checked ([`check`]). May not: decide anything for the program, reach into
+//! it other than by its sockets, signals, files and log, or signal a process that it didn't start.
+
+pub mod archive;
+pub mod check;
+pub mod customer;
+pub mod faults;
+pub mod fleet;
+pub mod gate;
+pub mod line;
+pub mod process;
+pub mod pump;
+pub mod record;
+pub mod schedule;
+pub mod settings;
+pub mod who;
+
+pub use fleet::{Fleet, Plan};
+pub use line::Way;
--- /dev/null
+++ b/rig/src/settings.rs
@@ -0,0 +1,83 @@
+//! What the rig's processes are told: the platform's settings of a small deployment, and the operator's file.
+
+use crate::fleet::Plan;
+use foldmux_standins::journal::Host;
+use std::net::SocketAddr;
+
+/// Cache boxes of each site.
+pub const BOXES: usize = 2;
+/// The class of keyed requests, and the others'.
+pub const KEYED: &str = "mix-record";
+pub const READS: [&str; 2] = ["mix-video", "formula-card"];
+
+pub fn name(process: usize) -> String {
+    format!("n{process}")
+}
+
+pub fn site(process: usize, plan: &Plan) -> String {
+    format!("site{}", process % plan.sites)
+}
+
+/// The list's lines, without addresses: boxes by site, then the parent and the origin.
+pub fn hosts(plan: &Plan, address: impl Fn(usize) -> SocketAddr) -> Vec<Host> {
+    let count = plan.sites * BOXES + 2;
+    let host = |n: usize| {
+        let (zone, kind) = match count - n {
+            1 => ("hub".to_string(), "origin"),
+            2 => ("hub".to_string(), "parent"),
+            _ => (format!("site{}", n % plan.sites), "box"),
+        };
+        let (name, kind) = (format!("s-{:08x}", n + 1), kind.to_string());
+        Host { name, address: address(n), zone, kind, status: "ready", since_ms: 0 }
+    };
+    (0..count).map(host).collect()
+}
+
+/// The configuration of one process. `known`: what the journal service has told so far.
+pub fn config(plan: &Plan, process: usize, listen: SocketAddr, journal: SocketAddr, known: &str) -> String {
+    let sites: Vec<String> = (0..plan.sites).map(|n| format!("\"site{n}\"")).collect();
+    let class = |name: &str, slo: u64, worth: f64, idempotency: &str| {
+        format!(
+            r#"{{"name":"{name}","slo":{slo},"hardLimit":3000000,"aimStretch":2.0,"importance":{worth},"lateValue":0.1,"idempotency":"{idempotency}","group":"all","repeatWindow":2000000}}"#
+        )
+    };
+    let classes = [
+        class(READS[0], 500_000, 2.0, "free"),
+        class(READS[1], 250_000, 1.0, "free"),
+        class(KEYED, 600_000, 3.0, "guarded"),
+    ];
+    let zeros = vec!["0"; plan.sites + 1].join(",");
+    let mut counts = vec![0; plan.sites + 1];
+    (0..plan.processes).for_each(|n| counts[1 + n % plan.sites] += 1);
+    let counts: Vec<String> = counts.iter().map(usize::to_string).collect();
+    format!(
+        r#"{{"name":"{name}","listen":"{listen}","seed":"{seed:x}","limits":{{"memory_mb":128,"sockets":1024}},"journal":"{journal}","known":{known},
+"settings":{{"index":{process},"balancers":{all},"locality":{own},"dcs":["hub",{sites}],"kinds":["box","parent","origin"],
+"classes":[{classes}],"limits":{{"maxAttempts":8,"cancel":true,"retryAfter":true,"maxRetryAfter":300000}},
+"rules":{{"answerSlack":8000,"stopSendingWithin":250000,"coldFrom":0.17,"rampTime":18000000,"fall":3000000,"fallMultiple":4.0}},
+"domain":{{"originKind":2,"midKind":1,"siblings":"any","notesGiven":"none","clientKbPerS":5000.0,"direct":true,
+"hubOf":[{zeros}],"passOn":[false,false,true],"instancesByZone":[{counts}],"parentFloor":0.067,"parentCold":21000000,
+"parentBreaksAt":2.0,"purgeSlack":1000000,"purgeDone":6000000}}}}}}"#,
+        name = name(process),
+        seed = plan.seed.wrapping_add(process as u64),
+        all = plan.processes,
+        own = 1 + process % plan.sites,
+        sites = sites.join(","),
+        classes = classes.join(","),
+        counts = counts.join(","),
+    )
+}
+
+/// The operator's file of one process: the fleet as it sees it, each peer by the line to it; then the plan's own lines.
+pub fn operator(plan: &Plan, own: SocketAddr, peers: &[SocketAddr], key_file: &str) -> String {
+    let mut text = format!(
+        "fleet(listen = \"{own}\", key_file = \"{key_file}\", lease_ms = {}, drift_percent = 1.0)\n",
+        plan.lease.as_millis()
+    );
+    for (n, address) in peers.iter().enumerate() {
+        let (name, site) = (name(n), site(n, plan));
+        text += &format!("peer(\"{name}\", address = \"{address}\", site = \"{site}\")\n");
+    }
+    (0..plan.seats).for_each(|n| text += &format!("seat(\"{}\")\n", name(n)));
+    text + &plan.operator
+}
