--- a/rig/src/archive.rs
+++ b/rig/src/archive.rs
@@ -160,7 +160,7 @@
 fn one(stream: &TcpStream, shared: &Shared, by: &mut Option<usize>) -> bool {
     let Some(ask) = read_ask(stream) else { return false };
     // Looked up once bytes are here: the line knows by then whose they are.
-    *by = by.or_else(|| shared.who.dialled(stream.peer_addr().ok()?));
+    *by = by.or_else(|| shared.who.dialled(stream));
     let by = *by;
     let policy = *shared.policy.lock().unwrap_or_else(PoisonError::into_inner);
     let Some(key) = ask.fields.get("via-token").cloned() else {
--- a/rig/src/line.rs
+++ b/rig/src/line.rs
@@ -156,7 +156,7 @@
     drop(state);
     let shared = shared.clone();
     let carry = move || {
-        let dialler = near.peer_addr().ok().and_then(|far| shared.who.dialled(far));
+        let dialler = shared.who.dialled(&near);
         if let Some(held) = shared.state().held.get_mut(&number) {
             held.2 = dialler;
         }
--- a/rig/src/who.rs
+++ b/rig/src/who.rs
@@ -2,7 +2,7 @@
 
 use procfs::process::{FDTarget, Process};
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Mutex, PoisonError};
 
 /// Looks at the kernel's table.
@@ -43,12 +43,16 @@
     }
 
     /// Whose the other end of an accepted connection is; none for the rig's own, and for one that is gone already.
-    pub fn dialled(&self, far: SocketAddr) -> Option<usize> {
+    pub fn dialled(&self, accepted: &TcpStream) -> Option<usize> {
+        let (near, far) = (accepted.local_addr().ok()?, accepted.peer_addr().ok()?);
         if let Some(process) = self.with(|tables| tables.passed.get(&far).copied()) {
             return Some(process);
         }
         // The kernel's table moves while it is read, and may pass an entry over.
-        let entry = || procfs::net::tcp().ok()?.into_iter().find(|entry| entry.local_address == far);
+        // A port may be in use toward several.
+        let entry = || {
+            procfs::net::tcp().ok()?.into_iter().find(|e| (e.local_address, e.remote_address) == (far, near))
+        };
         let inode = (0..TRIES).find_map(|_| entry())?.inode;
         let processes: Vec<(u32, usize)> =
             self.with(|t| t.processes.iter().map(|(id, n)| (*id, *n)).collect());
