The fleet's thread: drives any part with frames, asks and ticks, and outlives its faults

The parts that decide for a fleet are pure; each process needs one owner for them. shared/fleet is one thread with a generic driver: messages by postcard, those to oneself without a socket, one bounded queue for asks that refuses at once, ticks when a part wants them, peers up and down from links and from what members say. A part that panics is taken out of service, counted and told, and the others go on. Before it ends the thread carries out what was asked and the links give the sockets what was sent.

--- /dev/null
+++ b/shared/fleet/tests/driver.rs
@@ -0,0 +1,239 @@
+//! The thread with a toy part, on real links.
+
+use crossbeam_channel::{bounded, unbounded, Receiver, Sender};
+use foldmux_fleet::{Builder, Fault, Port, Refused, Setup, Sink};
+use foldmux_peers::Bounds;
+use foldmux_seats::{Acts, Do, Part, Peer, Time};
+use serde::{Deserialize, Serialize};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+const LONG: Duration = Duration::from_secs(15);
+
+#[derive(Serialize, Deserialize)]
+enum Message {
+    Ping(u64),
+    Pong(u64),
+    Fall,
+    /// Said to oneself again for ever.
+    Storm,
+}
+
+enum Ask {
+    Ping(Peer, u64),
+    Wake(Time),
+    Fall(Peer),
+    Storm,
+    /// Meets the other end, and waits until that is dropped.
+    Block(Receiver<()>),
+}
+
+#[derive(Debug, PartialEq)]
+enum Told {
+    Pong(u64),
+    Woke,
+    Peer(Peer, bool),
+    Blocked,
+    Gone,
+}
+
+#[derive(Default)]
+struct Toy {
+    due: Option<Time>,
+}
+
+impl Part for Toy {
+    type Message = Message;
+    type Ask = Ask;
+    type Told = Told;
+
+    fn heard(&mut self, _: Time, from: &Peer, message: Message, out: &mut Acts<Toy>) {
+        match message {
+            Message::Ping(n) => out.push(Do::Send { to: from.clone(), message: Message::Pong(n) }),
+            Message::Pong(n) => out.push(Do::Tell(Told::Pong(n))),
+            Message::Fall => panic!("it fell"),
+            Message::Storm => out.push(Do::Send { to: from.clone(), message: Message::Storm }),
+        }
+    }
+
+    fn ask(&mut self, now: Time, ask: Ask, out: &mut Acts<Toy>) {
+        match ask {
+            Ask::Ping(to, n) => out.push(Do::Send { to, message: Message::Ping(n) }),
+            Ask::Wake(after) => self.due = Some(now + after),
+            Ask::Fall(to) => out.push(Do::Send { to, message: Message::Fall }),
+            Ask::Storm => out.push(Do::Send { to: peer(0), message: Message::Storm }),
+            Ask::Block(gate) => {
+                out.push(Do::Tell(Told::Blocked));
+                let _ = gate.recv().and_then(|()| gate.recv());
+            }
+        }
+    }
+
+    fn peer(&mut self, _: Time, peer: &Peer, alive: bool, out: &mut Acts<Toy>) {
+        out.push(Do::Tell(Told::Peer(peer.clone(), alive)));
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Acts<Toy>) {
+        assert!(self.due.take().is_some_and(|due| due <= now));
+        out.push(Do::Tell(Told::Woke));
+    }
+
+    fn due(&self) -> Option<Time> {
+        self.due
+    }
+}
+
+struct To(Sender<Told>);
+
+impl Sink<Told> for To {
+    fn told(&self, told: Told) {
+        self.0.send(told).unwrap();
+    }
+
+    fn gone(&self) {
+        let _ = self.0.send(Told::Gone);
+    }
+}
+
+fn peer(n: usize) -> Peer {
+    Peer::new(&format!("n{n}"))
+}
+
+/// A loopback address by process and test, with a free port.
+fn address() -> SocketAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let (process, next) = (std::process::id(), NEXT.fetch_add(1, Ordering::SeqCst));
+    let ip = [127, 128 + (process >> 8 & 63) as u8, process as u8, 1 + (next % 250) as u8];
+    TcpListener::bind(SocketAddr::from((ip, 0))).and_then(|l| l.local_addr()).unwrap()
+}
+
+struct One {
+    fleet: foldmux_fleet::Fleet,
+    ports: Vec<Port<Ask>>,
+    told: Vec<Receiver<Told>>,
+    faults: Receiver<Fault>,
+    views: foldmux_fleet::Views,
+}
+
+/// Process `n` of those at `all`, with two toys.
+fn start(n: usize, all: &[SocketAddr]) -> One {
+    let peers = all.iter().enumerate().map(|(n, address)| (peer(n), *address)).collect();
+    let (listen, bounds) = (all[n], Bounds::default());
+    let mut builder =
+        Builder::new(Setup { name: peer(n), listen, peers, key: [3; 32], seed: n as u64, queue: 8, bounds });
+    let (mut ports, mut told) = (Vec::new(), Vec::new());
+    for byte in [4, 9] {
+        let (sender, receiver) = unbounded();
+        ports.push(builder.add(byte, Toy::default(), To(sender)));
+        told.push(receiver);
+    }
+    let (sender, faults) = bounded(8);
+    let views = builder.views();
+    One { fleet: builder.start(sender).unwrap(), ports, told, faults, views }
+}
+
+impl One {
+    fn wait(&self, part: usize, wanted: Told) {
+        let until = Instant::now() + LONG;
+        while self.told[part].recv_deadline(until).expect("it never came") != wanted {}
+    }
+}
+
+#[test]
+fn parts_speak_to_their_like_to_themselves_and_by_time() {
+    let all = [address(), address()];
+    let (a, b) = (start(0, &all), start(1, &all));
+    a.wait(0, Told::Peer(peer(1), true));
+    b.wait(0, Told::Peer(peer(0), true));
+    // Sent once: a dial from the other end may still replace the link, and take it with it.
+    let asked = |n| a.ports[0].ask(Ask::Ping(peer(1), n)).is_ok();
+    let mut n = 0;
+    while a.told[0].recv_timeout(Duration::from_millis(50)) != Ok(Told::Pong(n)) {
+        n += 1;
+        assert!(asked(n));
+    }
+    assert!(a.told[1].try_iter().all(|told| told == Told::Peer(peer(1), true)), "another part heard of it");
+    let unlinked = a.fleet.links().counts().unlinked.get();
+    a.ports[1].ask(Ask::Ping(peer(0), 7)).unwrap();
+    a.wait(1, Told::Pong(7));
+    assert_eq!(a.fleet.links().counts().unlinked.get(), unlinked, "to itself by a link");
+    a.ports[1].ask(Ask::Wake(2_000)).unwrap();
+    a.wait(1, Told::Woke);
+    drop(b);
+    a.wait(0, Told::Peer(peer(1), false));
+}
+
+#[test]
+fn members_can_say_that_a_linked_peer_is_dead_and_a_new_session_is_alive() {
+    let all = [address(), address()];
+    let (a, b) = (start(0, &all), start(1, &all));
+    a.wait(0, Told::Peer(peer(1), true));
+    a.views.say(&peer(1), false);
+    a.ports[0].ask(Ask::Wake(0)).unwrap();
+    a.wait(0, Told::Peer(peer(1), false));
+    drop(b);
+    let _b = start(1, &all);
+    a.wait(0, Told::Peer(peer(1), true));
+}
+
+#[test]
+fn a_part_that_panics_is_out_of_service_and_told_and_the_others_go_on() {
+    let one = start(0, &[address()]);
+    one.ports[0].ask(Ask::Fall(peer(0))).unwrap();
+    one.wait(0, Told::Gone);
+    assert_eq!(one.faults.recv_timeout(LONG), Ok(Fault { part: 4, why: "it fell".to_string() }));
+    assert_eq!(one.ports[0].ask(Ask::Wake(0)), Err(Refused::Gone));
+    assert_eq!(one.fleet.counts().faults.load(Ordering::Relaxed), 1);
+    one.ports[1].ask(Ask::Ping(peer(0), 3)).unwrap();
+    one.wait(1, Told::Pong(3));
+}
+
+#[test]
+fn a_full_queue_refuses_at_once_and_counts() {
+    let one = start(0, &[address()]);
+    let (gate, blocked) = bounded(0);
+    one.ports[0].ask(Ask::Block(blocked.clone())).unwrap();
+    gate.send(()).unwrap();
+    // While the thread stands in that ask, eight more wait, and no ninth.
+    (0..8).for_each(|_| one.ports[0].ask(Ask::Block(blocked.clone())).unwrap());
+    assert_eq!(one.ports[0].ask(Ask::Wake(0)), Err(Refused::Full));
+    assert_eq!(one.ports[1].ask(Ask::Wake(0)), Err(Refused::Full));
+    assert_eq!((one.ports[0].refused(), one.ports[1].refused()), (1, 1));
+    drop(gate);
+    one.wait(0, Told::Blocked);
+    let port = one.ports[0].clone();
+    one.fleet.end(LONG);
+    assert_eq!(port.ask(Ask::Wake(0)), Err(Refused::Gone));
+    // All that was asked before the end was carried out, and then what is owed no more is said.
+    let told: Vec<Told> = one.told[0].try_iter().collect();
+    assert!(told.len() == 9 && told.last() == Some(&Told::Gone), "{told:?}");
+}
+
+#[test]
+fn a_part_that_speaks_to_itself_for_ever_does_not_keep_the_others_from_their_turn() {
+    let one = start(0, &[address()]);
+    one.ports[0].ask(Ask::Storm).unwrap();
+    one.ports[1].ask(Ask::Wake(500)).unwrap();
+    one.wait(1, Told::Woke);
+    one.ports[1].ask(Ask::Ping(peer(0), 3)).unwrap();
+    one.wait(1, Told::Pong(3));
+}
+
+#[test]
+fn what_was_sent_before_the_end_arrives() {
+    let all = [address(), address()];
+    let (a, b) = (start(0, &all), start(1, &all));
+    a.wait(0, Told::Peer(peer(1), true));
+    b.wait(0, Told::Peer(peer(0), true));
+    // The last thing said before leaving: the other falls by it.
+    while b.faults.is_empty() {
+        a.ports[1].ask(Ask::Fall(peer(1))).unwrap();
+        if b.faults.recv_timeout(Duration::from_millis(20)).is_ok() {
+            break;
+        }
+    }
+    a.ports[0].ask(Ask::Fall(peer(1))).unwrap();
+    a.fleet.end(LONG);
+    assert_eq!(b.faults.recv_timeout(LONG).map(|fault| fault.part), Ok(4));
+}
--- a/shared/peers/src/link.rs
+++ b/shared/peers/src/link.rs
@@ -22,6 +22,8 @@
     bytes: usize,
     /// Frames handed over and not dealt with.
     out: usize,
+    /// Something taken from the queue is being written.
+    writing: bool,
     ended: bool,
 }
 
@@ -36,6 +38,8 @@
     written: Condvar,
     /// Room in the window, or the end.
     room: Condvar,
+    /// All that was queued is written, or the end.
+    drained: Condvar,
 }
 
 /// A frame that is not dealt with yet: dropped, it makes room in its link's window.
@@ -59,8 +63,8 @@
 
 impl Link {
     pub fn new(peer: Peer, session: Session, dialled: bool, stream: TcpStream) -> Link {
-        let (written, room) = (Condvar::new(), Condvar::new());
-        Link { peer, session, dialled, stream, inside: Mutex::default(), written, room }
+        let (written, room, drained) = (Condvar::new(), Condvar::new(), Condvar::new());
+        Link { peer, session, dialled, stream, inside: Mutex::default(), written, room, drained }
     }
 
     fn lock(&self) -> MutexGuard<'_, Inside> {
@@ -86,6 +90,7 @@
         self.lock().ended = true;
         self.written.notify_all();
         self.room.notify_all();
+        self.drained.notify_all();
         let _ = self.stream.shutdown(Shutdown::Both);
     }
 
@@ -93,6 +98,13 @@
         self.lock().ended
     }
 
+    /// Waits until all that was queued is with the socket.
+    pub fn drain(&self, until: Instant) {
+        let left = until.saturating_duration_since(Instant::now());
+        let busy = |inside: &mut Inside| !inside.ended && (inside.writing || !inside.queue.is_empty());
+        drop(self.drained.wait_timeout_while(self.lock(), left, busy));
+    }
+
     /// Writes what is queued, and beats, until the link ends.
     pub fn write(&self, mut says: Way, bounds: &Bounds) {
         let mut bytes = Vec::new();
@@ -100,6 +112,8 @@
             if wire::write(&self.stream, &bytes, Instant::now() + bounds.write).is_err() {
                 break;
             }
+            self.lock().writing = false;
+            self.drained.notify_all();
             bytes.clear();
             bytes.shrink_to(WRITE);
         }
@@ -123,6 +137,7 @@
             messages.push((part, message));
         }
         inside.bytes -= size;
+        inside.writing = true;
         drop(inside);
         for (part, message) in &messages {
             says.seal(&Envelope::Message { part: *part, bytes: message }, bytes);
--- a/shared/peers/src/links.rs
+++ b/shared/peers/src/links.rs
@@ -80,6 +80,11 @@
         queued
     }
 
+    /// Waits until what was queued so far is with the sockets, no longer than until then: before leaving.
+    pub fn drain(&self, until: Instant) {
+        self.0.live.all().iter().for_each(|link| link.drain(until));
+    }
+
     /// Where it listens; none while the address is in use by another.
     pub fn address(&self) -> Option<SocketAddr> {
         *self.0.address.lock().unwrap_or_else(PoisonError::into_inner)
--- a/shared/peers/src/live.rs
+++ b/shared/peers/src/live.rs
@@ -114,6 +114,10 @@
         self.lock().links.get(peer).and_then(|links| links.last()).cloned()
     }
 
+    pub fn all(&self) -> Vec<Arc<Link>> {
+        self.lock().links.values().flatten().cloned().collect()
+    }
+
     /// Waits until the peer has no link; not once all ends.
     pub fn wait_for_none(&self, peer: &Peer) -> bool {
         let linked = |inside: &mut Inside| {
