Tell who is in the fleet and who seems alive: SWIM over foca, as a pure part

Need: takeover, relays and fair slots ask where to turn, and the fleet thread asks whom to link to. Nothing is decided by the answer: who may speak for the fleet is a matter of seats.

- pure/members wraps foca 2.0 unmodified: joins by contacts, suspicion, refutation by incarnation, leaving on purpose, restart under the same name, a return under a next generation of one that was taken for dead.
- Who: name, site, address, generation.
A higher generation replaces a lower one at once; a life that begins with a clock set back passes the one before it by doubling steps.
- Leaving is a part of the identity, so that whoever hears of it knows that it left; each member is told directly.
- The door: a peer speaks for itself only; names, sizes and timers are bounded whatever a peer sends.
- foca 2.0 sends a suspected member its death notice also after it has refuted, so each refuted suspicion made it come back under another identity: it does not get to see a suspicion's timer that came to nothing.

--- /dev/null
+++ b/pure/members/src/members/news.rs
@@ -0,0 +1,70 @@
+//! What foca wants done, and what of it the process is told.
+
+use super::Members;
+use crate::told::{Seen, Told};
+use crate::who::Who;
+use crate::Packet;
+use foca::{Member, OwnedNotification};
+use foldmux_seats::{Acts, Do, Time};
+
+impl Members {
+    /// What foca wants done, until it wants nothing more.
+    pub(super) fn flush(&mut self, now: Time, out: &mut Acts<Members>) {
+        while let Some(news) = self.runtime.to_notify() {
+            self.news(news, out);
+        }
+        while let Some((to, data)) = self.runtime.to_send() {
+            out.push(Do::Send { to: to.name, message: Packet(data.to_vec()) });
+        }
+        while let Some((after, timer)) = self.runtime.to_schedule() {
+            let after = Time::try_from(after.as_micros()).unwrap_or(Time::MAX);
+            self.timers.put(now.saturating_add(after), timer);
+        }
+    }
+
+    fn news(&mut self, news: OwnedNotification<Who>, out: &mut Acts<Members>) {
+        match news {
+            OwnedNotification::Rename(_, new) if new.left => self.left(new, out),
+            OwnedNotification::MemberUp(new) if new.left => self.left(new, out),
+            OwnedNotification::MemberUp(new) => self.came(new, out),
+            // Who left and is back within one packet is renamed twice, and never *up* to foca.
+            OwnedNotification::Rename(_, new) if self.up.contains_key(&new.name) || self.alive(&new.name) => {
+                self.came(new, out)
+            }
+            OwnedNotification::MemberDown(old) if self.up.remove(&old.name).is_some() => {
+                out.push(Do::Tell(Told::Down(old.name)));
+            }
+            OwnedNotification::Rejoin(_) => {
+                self.counts.returns += 1;
+                self.seen = false;
+            }
+            OwnedNotification::Active => self.seen = true,
+            OwnedNotification::Idle | OwnedNotification::Defunct => self.seen = false,
+            _ => {}
+        }
+    }
+
+    fn came(&mut self, who: Who, out: &mut Acts<Members>) {
+        if who.name == self.me().name {
+            return;
+        }
+        let seen = Seen::of(&Member::alive(who.clone()));
+        match self.up.insert(who.name.clone(), who.born) {
+            None => out.push(Do::Tell(Told::Up(seen))),
+            Some(born) if born != who.born => out.push(Do::Tell(Told::Restarted(seen))),
+            Some(_) => {}
+        }
+    }
+
+    fn left(&mut self, who: Who, out: &mut Acts<Members>) {
+        if self.up.remove(&who.name).is_some() {
+            out.push(Do::Tell(Told::Left(who.name.clone())));
+        }
+        // One that left is dead to all at once, and nobody asks after it.
+        if who.name != self.me().name {
+            let down = Member::new(who, 0, foca::State::Down);
+            let done = self.foca.apply_many(std::iter::once(down), true, &mut self.runtime);
+            Members::noted(&mut self.counts, done);
+        }
+    }
+}
--- /dev/null
+++ b/pure/members/src/members/part.rs
@@ -0,0 +1,91 @@
+//! Members as a part: what is heard, asked and due.
+
+use super::{swim, Members};
+use crate::door::Refused;
+use crate::told::{Seen, Told};
+use crate::{Ask, Packet};
+use foca::Member;
+use foldmux_seats::{Acts, Do, Part, Peer, Time};
+
+impl Part for Members {
+    type Message = Packet;
+    type Ask = Ask;
+    type Told = Told;
+
+    fn heard(&mut self, now: Time, from: &Peer, message: Packet, out: &mut Acts<Self>) {
+        if self.me().left {
+            return;
+        }
+        let known = || self.foca.iter_membership_state().map(|member| member.id().name.clone()).collect();
+        match self.door.admit(self.foca.identity(), from, &message, known) {
+            Ok((packet, rival)) => {
+                if let Some(rival) = rival.filter(|rival| self.rival != Some(rival.born)) {
+                    self.rival = Some(rival.born);
+                    out.push(Do::Tell(Told::Rival(Seen::of(&Member::alive(rival)))));
+                }
+                let done = self.foca.handle_data(&packet, &mut self.runtime);
+                Members::noted(&mut self.counts, done);
+            }
+            Err(Refused::Unread) => self.counts.unread += 1,
+            Err(Refused::Forged) => self.counts.forged += 1,
+            Err(Refused::Full) => self.counts.full += 1,
+        }
+        self.flush(now, out);
+    }
+
+    fn ask(&mut self, now: Time, ask: Ask, out: &mut Acts<Self>) {
+        match ask {
+            Ask::Join(contacts) => {
+                if self.me().left {
+                    let me = self.me().again();
+                    self.foca = swim(me, self.pace, &mut self.rng);
+                }
+                let me = self.me().name.clone();
+                self.contacts =
+                    contacts.into_iter().filter(|peer| *peer != me).take(self.door.most()).collect();
+                self.join_at = Some(now.saturating_add(self.pace.join()));
+                self.announce();
+            }
+            Ask::Leave => {
+                if !self.me().left {
+                    self.leave();
+                }
+                self.join_at = None;
+                self.up.clear();
+            }
+        }
+        self.flush(now, out);
+        if self.me().left {
+            self.timers.clear();
+        }
+    }
+
+    /// A link that opens or breaks proves nothing; members ask and are asked in their own time.
+    fn peer(&mut self, _now: Time, _peer: &Peer, _alive: bool, _out: &mut Acts<Self>) {}
+
+    fn tick(&mut self, now: Time, out: &mut Acts<Self>) {
+        // A process that was paused missed the answers, not the others the time: all its timers are later by
+        // that.
+        let late = self.timers.due().map_or(0, |due| now.saturating_sub(due));
+        if late >= self.pace.rtt {
+            self.timers.delay(late);
+        }
+        while let Some(timer) = self.timers.take(now) {
+            if self.refuted(&timer) {
+                continue;
+            }
+            let done = self.foca.handle_timer(timer, &mut self.runtime);
+            Members::noted(&mut self.counts, done);
+            self.flush(now, out);
+        }
+        if self.join_at.is_some_and(|at| at <= now) {
+            self.join_at = Some(now.saturating_add(self.pace.join()));
+            self.announce();
+            self.flush(now, out);
+        }
+    }
+
+    fn due(&self) -> Option<Time> {
+        self.timers.due().into_iter().chain(self.join_at).min()
+    }
+}
