--- /dev/null
+++ b/pure/fair/src/division.rs
@@ -0,0 +1,100 @@
+//! How many of a pool's slots each process should hold: by what tenants want there. Tenants share by weight, none gets more
+//! than it wants (max-min fair), and a process gets its tenants' parts in proportion to what they want there.
+//!
+//! Every process works this out for itself from the digests that it has; where they differ the seats' leases still bound
+//! the sum. Each process with work keeps [`floor`], whatever another says that it wants.
+
+use crate::digest::Process;
+use std::collections::BTreeMap;
+
+/// Half of an equal part: what no other's claims take from a process that wants it.
+pub fn floor(slots: usize, processes: usize) -> usize {
+    slots / (2 * processes.max(1))
+}
+
+/// Each tenant's slots, by its weight and what it wants.
+fn fair(slots: f64, tenants: &[(f64, f64)]) -> Vec<f64> {
+    let mut order: Vec<usize> = (0..tenants.len()).collect();
+    // Those satisfied first stand first.
+    order.sort_by(|a, b| {
+        let level = |at: &usize| tenants[*at].1 / tenants[*at].0;
+        level(a).total_cmp(&level(b)).then(a.cmp(b))
+    });
+    let mut weights: f64 = tenants.iter().map(|t| t.0).sum();
+    let (mut left, mut parts) = (slots, vec![0.0; tenants.len()]);
+    for at in order {
+        let (weight, wants) = tenants[at];
+        let part = if weights > 0.0 { (left * weight / weights).clamp(0.0, wants) } else { 0.0 };
+        parts[at] = part;
+        left -= part;
+        weights -= weight;
+    }
+    parts
+}
+
+/// Slots for each process, in their order. `weight`: of a tenant that is named, in thousandths; `unnamed`: of all others
+/// together.
+pub fn targets(
+    slots: usize,
+    fleet: &[Process],
+    weight: impl Fn(u64) -> Option<u64>,
+    unnamed: u64,
+) -> Vec<usize> {
+    if fleet.is_empty() {
+        return Vec::new();
+    }
+    let mut wants: BTreeMap<u64, f64> = BTreeMap::new();
+    let told = fleet.iter().flat_map(|process| &process.wants);
+    told.for_each(|(tenant, n)| *wants.entry(*tenant).or_default() += *n as f64);
+    let nameless = wants.keys().filter(|tenant| weight(**tenant).is_none()).count().max(1);
+    // One of no weight still gets what no other wants.
+    let weigh = |tenant: u64| weight(tenant).map_or(unnamed as f64 / nameless as f64, |w| w as f64).max(1e-9);
+    let tenants: Vec<(f64, f64)> = wants.iter().map(|(tenant, n)| (weigh(*tenant), *n)).collect();
+    let parts = fair(slots as f64, &tenants);
+    let rate: BTreeMap<u64, f64> =
+        wants.iter().zip(&parts).map(|((tenant, n), part)| (*tenant, part / n)).collect();
+    let idle = (slots as f64 - parts.iter().sum::<f64>()).max(0.0) / fleet.len() as f64;
+    let of = |process: &Process| {
+        let own: f64 = process.wants.iter().map(|(tenant, n)| *n as f64 * rate[tenant]).sum();
+        let all: usize = process.wants.iter().map(|w| w.1 as usize).sum();
+        (own + idle).max(all.min(floor(slots, fleet.len())) as f64)
+    };
+    let exact: Vec<f64> = fleet.iter().map(of).collect();
+    let mut whole: Vec<usize> = exact.iter().map(|part| (*part + 1e-9) as usize).collect();
+    // What is left over goes to the largest remainders.
+    let mut order: Vec<usize> = (0..fleet.len()).collect();
+    order.sort_by(|a, b| (exact[*b].fract()).total_cmp(&exact[*a].fract()).then(a.cmp(b)));
+    let left = slots.saturating_sub(whole.iter().sum());
+    order.into_iter().take(left).for_each(|at| whole[at] += 1);
+    whole
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use foldmux_seats::Peer;
+
+    fn process(n: usize, wants: &[(u64, u16)]) -> Process {
+        Process { peer: Peer::new(&format!("n{n}")), held: 0, wants: wants.to_vec() }
+    }
+
+    #[test]
+    fn a_tenant_by_eight_processes_gets_one_share_and_not_eight() {
+        let wants = |n: usize| if n == 0 { vec![(1, 100), (2, 100)] } else { vec![(1, 100)] };
+        let fleet: Vec<Process> = (0..8).map(|n| process(n, &wants(n))).collect();
+        let parts = targets(64, &fleet, |_| Some(1_000), 0);
+        // Tenant 1 gets 32, four at each; tenant 2 gets 32, all at the first.
+        assert_eq!(parts, [36, 4, 4, 4, 4, 4, 4, 4]);
+    }
+
+    #[test]
+    fn what_no_one_wants_is_spread_and_what_one_claims_leaves_others_their_floor() {
+        assert_eq!(targets(9, &[process(0, &[]), process(1, &[(1, 3)])], |_| None, 1_000), [3, 6]);
+        let fleet: Vec<Process> =
+            (0..4).map(|n| process(n, &[(1, if n == 0 { u16::MAX } else { 20 })])).collect();
+        let parts = targets(64, &fleet, |_| Some(1_000), 0);
+        assert!(parts[1..].iter().all(|part| *part >= 8), "{parts:?}");
+        let weights = |tenant| Some(if tenant == 1 { 0 } else { 1_000 });
+        assert_eq!(targets(8, &[process(0, &[(1, 9)]), process(1, &[(2, 9)])], weights, 0), [2, 8]);
+    }
+}
--- /dev/null
+++ b/pure/fair/src/slots.rs
@@ -0,0 +1,241 @@
+//! The fleet's side of a pool: its numbered slots, each held by one process at a time, by lease at the pool's three seats.
+//!
+//! A slot is held while two of three seats lease it to this process, by this process's own, shorter count: no two ever hold
+//! one number, so the sum never passes the cap. Who is cut off from the seats has fewer by each lease that runs out, and then
+//! none. A life of a process that ended keeps its slots for one lease, and they come back once: at the seats, by their clocks.
+//! Idle ones are lent: a process keeps what it holds until another is short of its part, then gives back what it has over
+//! its own ([`crate::division`]), idle ones at once and those in use as they end.
+
+use crate::digest::{Digest, Heard, Process, Use};
+use crate::division::targets;
+use crate::holder::{Holder, Won};
+use crate::message::{Ask, Message, PoolKey, Told, Word};
+use crate::seat::Seat;
+use crate::{Peer, Time};
+use foldmux_seats::{Acts, Change, Do, Drift, Part};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A pool's division is worked out anew so often, and offers and digests go out (us).
+pub const STEP: Time = 20_000;
+/// With nothing to tell, a digest goes out so often (us).
+pub const DIGEST: Time = 200_000;
+
+#[derive(Clone, Debug)]
+pub struct PoolSetup {
+    pub key: PoolKey,
+    pub slots: u16,
+    /// Longer than the longest request, as none starts that may outlast its slot's lease.
+    pub lease: Time,
+    pub weights: BTreeMap<u64, u64>,
+    pub unnamed: u64,
+}
+
+#[derive(Clone, Debug)]
+pub struct FleetSetup {
+    pub own: Peer,
+    /// Another for each start of this process.
+    pub life: u64,
+    pub peers: Vec<Peer>,
+    pub seats: Change,
+    pub drift: Drift,
+    pub pools: Vec<PoolSetup>,
+}
+
+#[derive(Debug)]
+struct Pool {
+    setup: PoolSetup,
+    seat: Seat,
+    holder: Holder,
+    heard: Heard,
+    uses: Vec<Use>,
+    told: Option<Time>,
+    /// What this process was last told to hold at most.
+    most: Option<u16>,
+    news: bool,
+    leaving: bool,
+}
+
+/// All pools of the fleet, at one process.
+#[derive(Debug)]
+pub struct FleetSlots {
+    own: Peer,
+    peers: BTreeMap<Peer, bool>,
+    seats: Change,
+    pools: BTreeMap<PoolKey, Pool>,
+    due: Time,
+}
+
+impl FleetSlots {
+    pub fn new(now: Time, setup: FleetSetup) -> FleetSlots {
+        let FleetSetup { own, life, peers, seats, drift, pools } = setup;
+        let pool = |setup: PoolSetup| Pool {
+            seat: Seat::new(now, setup.slots, setup.lease, drift),
+            holder: Holder::new(life, setup.key, setup.lease, drift),
+            heard: Heard::default(),
+            uses: Vec::new(),
+            told: None,
+            most: None,
+            news: false,
+            leaving: false,
+            setup,
+        };
+        let pools = pools.into_iter().map(|setup| (setup.key, pool(setup))).collect();
+        let peers = peers.into_iter().filter(|peer| *peer != own).map(|peer| (peer, true)).collect();
+        FleetSlots { own, peers, seats, pools, due: now }
+    }
+
+    /// A change of the list of seats is asked by both lists for one window.
+    pub fn seats(&mut self) -> &mut Change {
+        &mut self.seats
+    }
+
+    fn to_seats(&self, now: Time, pool: PoolKey, words: Vec<Word>, out: &mut Acts<Self>) {
+        for word in words {
+            for to in self.seats.asked(now, &pool.to_le_bytes()) {
+                let message = Message { pool, word: word.clone() };
+                out.push(Do::Send { to: to.clone(), message });
+            }
+        }
+    }
+
+    fn step(&mut self, now: Time, out: &mut Acts<Self>) {
+        let keys: Vec<PoolKey> = self.pools.keys().copied().collect();
+        for key in keys {
+            let sits = self.seats.sits(now, &key.to_le_bytes(), &self.own);
+            let Some(pool) = self.pools.get_mut(&key) else { continue };
+            if sits && pool.seat.wanted() {
+                for (to, slots) in pool.seat.offers(now) {
+                    out.push(Do::Send { to, message: Message { pool: key, word: Word::Vacant { slots } } });
+                }
+            }
+            let (target, short_elsewhere) = pool.divide(now, &self.own);
+            let held = pool.holder.held();
+            let short = if pool.leaving { 0 } else { target.saturating_sub(held) };
+            let words = pool.holder.step(now, &self.seats, short);
+            let back = held.saturating_sub(target).min(short_elsewhere);
+            let most = if back > 0 { (held - back) as u16 } else { u16::MAX };
+            if pool.most.replace(most) != Some(most) {
+                out.push(Do::Tell(Told::Most { pool: key, most }));
+            }
+            let often = if pool.news { STEP } else { DIGEST };
+            if pool.told.is_none_or(|told| now >= told.saturating_add(often)) {
+                pool.told = Some(now);
+                pool.news = false;
+                let digest = pool.digest();
+                for (to, _) in self.peers.iter().filter(|(_, alive)| **alive) {
+                    let word = Word::Digest(digest.clone());
+                    out.push(Do::Send { to: to.clone(), message: Message { pool: key, word } });
+                }
+            }
+            self.to_seats(now, key, words, out);
+        }
+        self.due = now.saturating_add(STEP);
+    }
+}
+
+impl Pool {
+    fn digest(&self) -> Digest {
+        let held = self.holder.held().min(u16::MAX as usize) as u16;
+        Digest { life: self.holder.life, held, uses: self.uses.clone() }
+    }
+
+    /// This process's part, and what others lack of theirs.
+    fn divide(&mut self, now: Time, own: &Peer) -> (usize, usize) {
+        let wants = self.uses.iter().filter(|u| u.wants > 0).map(|u| (u.tenant, u.wants)).collect();
+        let mut fleet = self.heard.fleet(now);
+        fleet.push(Process { peer: own.clone(), held: self.holder.held(), wants });
+        fleet.sort_by(|a, b| a.peer.cmp(&b.peer));
+        let PoolSetup { slots, weights, unnamed, .. } = &self.setup;
+        let parts = targets(*slots as usize, &fleet, |tenant| weights.get(&tenant).copied(), *unnamed);
+        let (mut target, mut short) = (0, 0);
+        for (process, part) in fleet.iter().zip(parts) {
+            let wants: usize = process.wants.iter().map(|w| w.1 as usize).sum();
+            match process.peer == *own {
+                true => target = part,
+                // One that only lacks spare slots calls nothing back.
+                false => short += part.min(wants).saturating_sub(process.held),
+            }
+        }
+        (target, short)
+    }
+}
+
+impl Part for FleetSlots {
+    type Message = Message;
+    type Ask = Ask;
+    type Told = Told;
+
+    fn heard(&mut self, now: Time, from: &Peer, message: Message, out: &mut Acts<Self>) {
+        let Message { pool: key, word } = message;
+        let sits = self.seats.sits(now, &key.to_le_bytes(), &self.own);
+        let Some(pool) = self.pools.get_mut(&key) else { return };
+        match word {
+            Word::Claim { life, number, slots, more } if sits => {
+                let said = pool.seat.claim(now, from, (life, number), &slots, more);
+                let (slots, refused, vacant) = (said.granted, said.refused, said.vacant);
+                let word = Word::Granted { life, number, slots, refused, vacant };
+                out.push(Do::Send { to: from.clone(), message: Message { pool: key, word } });
+            }
+            Word::Free { life, number, slots } if sits => pool.seat.free(from, (life, number), &slots),
+            Word::Granted { life, number, slots, refused, vacant } if life == pool.holder.life => {
+                let (won, word) = pool.holder.granted(now, from, (number, &slots, &refused));
+                pool.holder.vacant(vacant);
+                let held = |Won { slot, turn, until }| Told::Held { pool: key, slot, turn, until };
+                out.extend(won.into_iter().map(|won| Do::Tell(held(won))));
+                self.to_seats(now, key, word.into_iter().collect(), out);
+            }
+            Word::Vacant { slots } => pool.holder.vacant(slots),
+            Word::Digest(digest) if self.peers.contains_key(from) => {
+                let by = pool.heard.hear(now, from, digest, pool.setup.slots);
+                if !by.is_empty() {
+                    out.push(Do::Tell(Told::Used { pool: key, by }));
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn ask(&mut self, now: Time, ask: Ask, out: &mut Acts<Self>) {
+        match ask {
+            Ask::Uses { pool, uses } => {
+                let Some(pool) = self.pools.get_mut(&pool) else { return };
+                let wants = |uses: &[Use]| uses.iter().map(|u| (u.tenant, u.wants)).collect::<BTreeSet<_>>();
+                pool.news |= wants(&uses) != wants(&pool.uses);
+                pool.uses = uses;
+            }
+            Ask::Gave { pool: key, gave } => {
+                let Some(pool) = self.pools.get_mut(&key) else { return };
+                let word = pool.holder.gave(&gave);
+                pool.news = true;
+                self.to_seats(now, key, word.into_iter().collect(), out);
+            }
+            Ask::Weights { pool, named, unnamed } => {
+                let Some(pool) = self.pools.get_mut(&pool) else { return };
+                pool.setup.weights = named.into_iter().collect();
+                pool.setup.unnamed = unnamed;
+            }
+            Ask::Leaving { pool: key } => {
+                let Some(pool) = self.pools.get_mut(&key) else { return };
+                pool.leaving = true;
+                out.push(Do::Tell(Told::Most { pool: key, most: 0 }));
+            }
+        }
+    }
+
+    fn peer(&mut self, _: Time, peer: &Peer, alive: bool, _: &mut Acts<Self>) {
+        self.peers.get_mut(peer).into_iter().for_each(|own| *own = alive);
+        if !alive {
+            self.pools.values_mut().for_each(|pool| pool.heard.gone(peer));
+        }
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Acts<Self>) {
+        if now >= self.due {
+            self.step(now, out);
+        }
+    }
+
+    fn due(&self) -> Option<Time> {
+        Some(self.due)
+    }
+}
--- /dev/null
+++ b/pure/fair/src/tenants.rs
@@ -0,0 +1,135 @@
+//! Who a tenant is, and what it weighs. Those named by the settings or the operator's file have a flow of their own; all
+//! others fold into a fixed number of buckets, which together weigh what one number says: memory is bounded for any number
+//! of names, and whoever invents names takes from the unnamed alone.
+
+use crate::planted::{planted, Fault};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+/// Weights in thousandths; 0 is served where nothing else waits.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Weight(pub u64);
+
+/// The largest weight that is told apart, in thousandths: keeps sums and products within their types.
+const HEAVIEST: f64 = 1e9;
+
+impl Weight {
+    pub const ONE: Weight = Weight(1_000);
+
+    /// What is no number, or below 0, weighs nothing; the least above 0 is a thousandth.
+    pub fn of(weight: f64) -> Weight {
+        match weight > 0.0 {
+            true => Weight((weight * 1_000.0).clamp(1.0, HEAVIEST) as u64),
+            false => Weight(0),
+        }
+    }
+}
+
+/// What a pool's tenants go by.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum By {
+    #[default]
+    Tenant,
+    Class,
+    Caller,
+}
+
+impl By {
+    /// A request's tenant; where the wire tells none, the caller that it proved to be, else its class.
+    pub fn name<'a>(self, tenant: Option<&'a str>, caller: &'a str, class: &'a str) -> &'a str {
+        let caller = Some(caller).filter(|caller| !caller.is_empty());
+        match self {
+            By::Tenant => tenant.or(caller).unwrap_or(class),
+            By::Caller => caller.unwrap_or(class),
+            By::Class => class,
+        }
+    }
+}
+
+/// A name as digests carry it: the same in every process.
+pub fn key(name: &str) -> u64 {
+    let hash = blake3::hash(name.as_bytes());
+    hash.as_bytes().iter().take(8).fold(0, |key, byte| key << 8 | *byte as u64)
+}
+
+/// The flow of a name: those of the buckets come first, and stay.
+#[derive(Debug)]
+pub struct Tenants {
+    buckets: u32,
+    named: HashMap<Arc<str>, u32>,
+    keys: HashMap<u64, u32>,
+    pub unnamed: Weight,
+}
+
+impl Tenants {
+    /// `buckets`: at least one.
+    pub fn new(buckets: u32, unnamed: Weight) -> Tenants {
+        Tenants { buckets: buckets.max(1), named: HashMap::new(), keys: HashMap::new(), unnamed }
+    }
+
+    pub fn buckets(&self) -> u32 {
+        self.buckets
+    }
+
+    pub fn find(&self, name: &str) -> u32 {
+        self.named.get(name).copied().unwrap_or_else(|| self.bucket(key(name)))
+    }
+
+    fn bucket(&self, key: u64) -> u32 {
+        (key % self.buckets as u64) as u32
+    }
+
+    /// As [`Tenants::find`], of a digest's key: that of a name, or of a bucket ([`Tenants::key_of`]).
+    pub fn find_key(&self, key: u64) -> u32 {
+        self.keys.get(&key).copied().unwrap_or_else(|| self.bucket(key))
+    }
+
+    pub fn named(&self) -> impl Iterator<Item = (&Arc<str>, u32)> {
+        self.named.iter().map(|(name, flow)| (name, *flow))
+    }
+
+    pub fn add(&mut self, name: Arc<str>, flow: u32) {
+        self.keys.insert(key(&name), flow);
+        self.named.insert(name, flow);
+    }
+
+    pub fn remove(&mut self, name: &str) -> Option<u32> {
+        self.keys.remove(&key(name));
+        self.named.remove(name)
+    }
+}
+
+/// What one bucket weighs while `active` of them are in use: together they weigh what the operator said.
+pub fn weight_of_bucket(unnamed: Weight, active: u64) -> Weight {
+    match planted(Fault::NoBoundOnCredit) || unnamed.0 == 0 {
+        true => unnamed,
+        false => Weight((unnamed.0 / active.max(1)).max(1)),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_name_has_its_flow_and_any_number_of_others_share_the_buckets() {
+        let mut tenants = Tenants::new(64, Weight::ONE);
+        tenants.add("mill".into(), 64);
+        assert_eq!((tenants.find("mill"), tenants.find_key(key("mill"))), (64, 64));
+        let flows: Vec<u32> = (0..100_000).map(|n| tenants.find(&format!("t{n}"))).collect();
+        assert!(flows.iter().all(|flow| *flow < 64));
+        let most = (0..64).map(|b| flows.iter().filter(|f| **f == b).count()).max().unwrap();
+        assert!(most < 2 * 100_000 / 64, "spread by a hash: {most}");
+        assert_eq!((tenants.find_key(5), tenants.remove("mill")), (5, Some(64)));
+        assert!(tenants.find("mill") < 64);
+    }
+
+    #[test]
+    fn weights_are_bounded_whatever_a_file_says() {
+        let of = |w: f64| Weight::of(w).0;
+        assert_eq!([of(0.0), of(-3.0), of(f64::NAN), of(1e-9), of(2.5)], [0, 0, 0, 1, 2_500]);
+        assert_eq!(of(f64::INFINITY), HEAVIEST as u64);
+        assert_eq!([By::Tenant, By::Caller, By::Class].map(|by| by.name(None, "", "card")), ["card"; 3]);
+        assert_eq!(By::Tenant.name(None, "spiffe://a", "card"), "spiffe://a");
+    }
+}
