Keep a record of covered work at its seats, and let one successor at a time take it over

An edge proxy that dies takes its open keyed requests with it; their clients ask again elsewhere, and some of it ran a second time. `takeover` is a register for each key at three seats, written by ballots: a claim needs two seats, an attempt is noted at two before a byte leaves, an answer is at two before anybody has it, and sending is allowed under a lease that is counted from when the renewal was sent. A successor goes on by what the record proves: never sent, repeatable in its group for what is left of the window, or over. Pure, bounded, driven like every part.

--- /dev/null
+++ b/pure/takeover/src/part.rs
@@ -0,0 +1,151 @@
+//! Seat, owner and successor in one: what comes in is handed to the side that it is for.
+
+use crate::message::{Ask, Lease, Message, Told};
+use crate::owner::Owner;
+use crate::record::Key;
+use crate::seat::Seat;
+use crate::setup::Setup;
+use foldmux_seats::part::Acts;
+use foldmux_seats::{order, Do, Part, Peer, Time};
+use std::collections::BTreeSet;
+
+pub type Out = Vec<Do<Message, Told>>;
+
+/// The moment, what holds at it, and where wishes go.
+pub struct At<'a> {
+    pub now: Time,
+    pub setup: &'a Setup,
+    pub out: &'a mut Out,
+}
+
+impl At<'_> {
+    pub fn tell(&mut self, told: Told) {
+        self.out.push(Do::Tell(told));
+    }
+
+    pub fn send(&mut self, to: &Peer, message: Message) {
+        self.out.push(Do::Send { to: to.clone(), message });
+    }
+}
+
+#[derive(Debug)]
+pub struct Takeover {
+    setup: Setup,
+    seat: Seat,
+    owner: Owner,
+    /// Who may be in line: all that are said to live. Bounded by whoever says so.
+    alive: BTreeSet<Peer>,
+}
+
+impl Takeover {
+    pub fn new(now: Time, setup: Setup) -> Takeover {
+        let alive = BTreeSet::from([setup.name.clone()]);
+        Takeover { seat: Seat::new(now, &setup), owner: Owner::new(setup.seed), setup, alive }
+    }
+
+    /// Keys that the seat knows, and works that this process owns or waits for.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.seat.held.len(), self.owner.len())
+    }
+
+    /// The lease of a work that this process owns.
+    pub fn lease(&self, key: Key) -> Option<&Lease> {
+        self.owner.held.get(&key).map(|holding| &holding.lease)
+    }
+
+    /// Whether this process's seat votes yet.
+    pub fn votes(&self, now: Time) -> bool {
+        self.seat.votes(&At { now, setup: &self.setup, out: &mut Vec::new() })
+    }
+}
+
+/// With leases of its own.
+impl Clone for Takeover {
+    fn clone(&self) -> Takeover {
+        let (setup, seat, alive) = (self.setup.clone(), self.seat.clone(), self.alive.clone());
+        let mut owner = self.owner.clone();
+        owner.held.values_mut().for_each(|holding| holding.lease = holding.lease.apart());
+        Takeover { setup, seat, owner, alive }
+    }
+}
+
+impl Part for Takeover {
+    type Message = Message;
+    type Ask = Ask;
+    type Told = Told;
+
+    fn heard(&mut self, now: Time, from: &Peer, message: Message, out: &mut Acts<Self>) {
+        let at = &mut At { now, setup: &self.setup, out };
+        match message {
+            Message::Claim { key, ballot, work, left } if ballot.owner == *from => {
+                self.seat.claim(at, key, ballot, work, left)
+            }
+            Message::Note { key, ballot, stamp, note } if ballot.owner == *from => {
+                self.seat.note(at, key, ballot, stamp, Some(note))
+            }
+            Message::Renew { key, ballot, stamp } if ballot.owner == *from => {
+                self.seat.note(at, key, ballot, stamp, None)
+            }
+            Message::Release { key, ballot, over } if ballot.owner == *from => {
+                if self.seat.release(at, key, &ballot, over) {
+                    let line = order::of(&key.bytes(), &self.alive);
+                    self.seat.look(at, key, &line);
+                }
+            }
+            // What another says in an owner's name.
+            Message::Claim { .. }
+            | Message::Note { .. }
+            | Message::Renew { .. }
+            | Message::Release { .. } => {}
+            Message::Claimed { key, ballot, verdict, seen, record } => {
+                self.owner.claimed(at, from, key, &ballot, (verdict, seen, record))
+            }
+            Message::Noted { key, ballot, stamp, verdict, version } => {
+                self.owner.noted(at, from, key, &ballot, stamp, (verdict, version))
+            }
+            Message::Succeed { key } => self.owner.succeed(at, key),
+            Message::Changed { key } => self.owner.changed(at, key),
+        }
+    }
+
+    fn ask(&mut self, now: Time, ask: Ask, out: &mut Acts<Self>) {
+        let at = &mut At { now, setup: &self.setup, out };
+        match ask {
+            Ask::Claim { ticket, key, work, left, again } => {
+                self.owner.join(at, ticket, key, work, left, again)
+            }
+            Ask::Intend { ticket, key, number, group } => self.owner.intend(at, ticket, key, number, group),
+            Ask::Ended { key, number, end } => self.owner.ended(at, key, number, end),
+            Ask::Done { ticket, key, answer } => self.owner.done(at, ticket, key, answer),
+            Ask::LetGo { key, over } => self.owner.let_go(at, key, over),
+            Ask::LetGoAll => self.owner.leave(at),
+        }
+    }
+
+    fn peer(&mut self, _: Time, peer: &Peer, alive: bool, _: &mut Acts<Self>) {
+        match alive {
+            true => self.alive.insert(peer.clone()),
+            false => *peer != self.setup.name && self.alive.remove(peer),
+        };
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Acts<Self>) {
+        let at = &mut At { now, setup: &self.setup, out };
+        while let Some(key) = self.seat.timers.pop(now) {
+            if self.seat.held.get(&key).is_some_and(|held| held.forget <= now) {
+                self.seat.forget(key);
+                continue;
+            }
+            let line = order::of(&key.bytes(), &self.alive);
+            self.seat.look(at, key, &line);
+            self.seat.arm(key);
+        }
+        while let Some(key) = self.owner.timers.pop(now) {
+            self.owner.tick(at, key);
+        }
+    }
+
+    fn due(&self) -> Option<Time> {
+        self.seat.timers.next().into_iter().chain(self.owner.timers.next()).min()
+    }
+}
--- /dev/null
+++ b/pure/takeover/tests/bounds.rs
@@ -0,0 +1,101 @@
+//! Floods: every table is bounded, and each ticket is answered all the same.
+
+mod common;
+
+use common::{name, setup, Plan, MS};
+use foldmux_seats::{Do, Part};
+use foldmux_takeover::*;
+use std::collections::HashSet;
+use std::sync::Arc;
+
+/// A fleet of one process that sits on all its seats, with messages to itself alone.
+struct Alone {
+    part: Takeover,
+    now: u64,
+    told: Vec<Told>,
+}
+
+impl Alone {
+    fn new(change: impl Fn(&mut Setup)) -> Alone {
+        let mut setup = setup(&Plan { processes: 1, ..Plan::new(1) }, 0, 1, true);
+        change(&mut setup);
+        Alone { part: Takeover::new(0, setup), now: 0, told: Vec::new() }
+    }
+
+    /// All three seats are this one process's.
+    fn ask(&mut self, ask: Ask) {
+        let mut out = Vec::new();
+        self.part.ask(self.now, ask, &mut out);
+        self.run(out);
+    }
+
+    fn run(&mut self, mut out: Vec<Do<Message, Told>>) {
+        while let Some(wish) = (!out.is_empty()).then(|| out.remove(0)) {
+            match wish {
+                Do::Tell(told) => self.told.push(told),
+                // The two other seats are silent.
+                Do::Send { to, message } if to == name(0) => {
+                    self.part.heard(self.now, &name(0), message, &mut out)
+                }
+                Do::Send { .. } => {}
+            }
+        }
+    }
+
+    fn wait(&mut self, span: u64) {
+        let end = self.now + span;
+        while let Some(due) = self.part.due().filter(|due| *due <= end) {
+            self.now = due.max(self.now);
+            let mut out = Vec::new();
+            self.part.tick(self.now, &mut out);
+            self.run(out);
+        }
+        self.now = end;
+    }
+}
+
+fn claim(ticket: u64, key: u128, left: u64, body: usize) -> Ask {
+    let body = Some(vec![7; body].into());
+    let (class, token, got) = (Arc::from("keyed"), None, None);
+    let work = Arc::new(Work { class, object: 1, part: 0, group: 0, size: 1, token, got, body });
+    Ask::Claim { ticket, key: Key(key), work, left, again: false }
+}
+
+#[test]
+fn a_flood_fills_no_table_beyond_its_bound_and_all_is_forgotten() {
+    for bytes in [0, 100] {
+        let mut alone = Alone::new(|setup| (setup.records, setup.works, setup.bytes) = (50, 80, 4_000));
+        for n in 0..10_000u64 {
+            alone.ask(claim(n, n.into(), 1_000 * MS, bytes));
+            let (records, works) = alone.part.counts();
+            assert!(records <= if bytes > 0 { 38 } else { 50 } && works <= 80, "{records} {works}");
+        }
+        alone.wait(60_000 * MS);
+        assert_eq!(alone.part.counts(), (0, 0));
+        let tickets: HashSet<u64> = alone
+            .told
+            .iter()
+            .map(|told| match told {
+                Told::Refused { ticket } | Told::Failed { ticket } => *ticket,
+                other => panic!("one seat of three decides nothing: {other:?}"),
+            })
+            .collect();
+        assert_eq!((alone.told.len(), tickets.len()), (10_000, 10_000));
+    }
+}
+
+#[test]
+fn clients_of_one_key_are_bounded_too() {
+    let mut alone = Alone::new(|setup| setup.waiters = 10);
+    (0..100).for_each(|n| alone.ask(claim(n, 7, 100 * MS, 0)));
+    assert_eq!(alone.told.len(), 90);
+    alone.wait(1_000 * MS);
+    assert_eq!(alone.told.len(), 100);
+}
+
+#[test]
+fn a_class_with_no_rule_is_not_covered() {
+    let mut alone = Alone::new(|setup| setup.rules.clear());
+    alone.ask(claim(1, 1, MS, 0));
+    assert_eq!(alone.told, [Told::Uncovered { ticket: 1 }]);
+}
