Let the operator's file name a fleet: peers, seats, covered classes, streams, pools and weights

The parts of the fleet need the operator's word: who the processes are and where, which of them are seats, which classes are covered and how, which streams are relayed, which pools are shared. Each call is checked with its line: doubled names and addresses, a seat that is no peer, fewer than three, a lease too short for the drift and three round trips. Off unless fleet(…) is called.

--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -9,7 +9,9 @@
 pub mod script;
 pub mod values;
 
-pub use values::{AskRule, Dns, Durable, ExtProc, Hierarchy, LedgerFile, Operator, Relay, Tls, TokenKey};
+pub use values::{
+    AskRule, Dns, Durable, ExtProc, Fleet, Hierarchy, LedgerFile, Operator, Relay, Tls, TokenKey,
+};
 
 use std::path::Path;
 
--- a/operator/src/script.rs
+++ b/operator/src/script.rs
@@ -3,6 +3,9 @@
 mod dns;
 mod ext_proc;
 mod finish;
+mod fleet;
+#[cfg(test)]
+mod fleet_tests;
 mod limits;
 mod sets;
 #[cfg(test)]
@@ -41,6 +44,7 @@
             .with(dns::functions)
             .with(ext_proc::functions)
             .with(limits::functions)
+            .with(fleet::functions)
             .build();
         Module::with_temp_heap(|module| {
             let mut eval = Evaluator::new(&module);
--- a/operator/src/script/finish.rs
+++ b/operator/src/script/finish.rs
@@ -11,8 +11,10 @@
 
 /// What only the whole file shows: the tree, and whether its parts fit together.
 pub(super) fn finish(name: &str, sets: Sets) -> Result<Operator, Vec<String>> {
-    let Sets { head, nodes, places, lines, cold, asks, keys, ledger, ext_proc, limits, mut operator } = sets;
+    let Sets { head, nodes, places, lines, cold, asks, keys, ledger, ext_proc, limits, fleet, mut operator } =
+        sets;
     operator.limits = limits;
+    operator.fleet = fleet.finish(name)?;
     match ext_proc {
         Some((at, own)) => {
             let whole = ExtProc { asks, keys, ledger, ..own };
--- a/operator/src/script/sets.rs
+++ b/operator/src/script/sets.rs
@@ -1,5 +1,6 @@
 //! What the calls of a script have set so far, and how a call sets it.
 
+use super::fleet::Parts;
 use crate::values::{AskRule, ExtProc, LedgerFile, Operator, Place, TokenKey};
 use anyhow::{anyhow, bail};
 use foldmux_hierarchy::cold::Rule;
@@ -33,6 +34,7 @@
     /// Where the external processor is set, and what it is still without its parts.
     pub ext_proc: Option<(String, ExtProc)>,
     pub limits: Option<Limits>,
+    pub fleet: Parts,
     pub operator: Operator,
 }
 
--- a/operator/src/values.rs
+++ b/operator/src/values.rs
@@ -2,9 +2,11 @@
 
 mod dns;
 mod ext_proc;
+mod fleet;
 
 pub use dns::{Dns, Tls};
 pub use ext_proc::{AskRule, Durable, ExtProc, LedgerFile, TokenKey};
+pub use fleet::{Cover, Fleet, Peer, Pool, PoolBy, Slow, Stream, StreamFirst, Unclaimed, Uncovered};
 
 use foldmux_hierarchy::cold::Rule;
 use foldmux_hierarchy::tree::{Kind, Tree};
@@ -20,6 +22,8 @@
     pub relay: Option<Relay>,
     pub dns: Option<Dns>,
     pub ext_proc: Option<ExtProc>,
+    /// What this process shares with others of a fleet.
+    pub fleet: Option<Fleet>,
     /// Limits by class and route, as the file says them; the account's rules are checked by whoever knows the account.
     pub limits: Option<Draft>,
 }
