--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -130,10 +130,19 @@
     }
 
     pub fn request_of(&mut self, class: usize, object: u64, size_kb: f64) -> (RequestId, Vec<Action>) {
+        self.request_for(class, object, size_kb, 3 * SECOND)
+    }
+
+    pub fn request_for(
+        &mut self,
+        class: usize,
+        object: u64,
+        size_kb: f64,
+        budget: Time,
+    ) -> (RequestId, Vec<Action>) {
         self.next += 1;
         let id = RequestId(self.next);
         let object = ObjectId(object);
-        let budget = 3 * SECOND;
         let event = Event::Request(Ask {
             id,
             class,
