--- a/pure/takeover/tests/common/world.rs
+++ b/pure/takeover/tests/common/world.rs
@@ -188,9 +188,6 @@
     }
 
     fn take(&mut self, event: Event) {
-        if std::env::var_os("TRACE").is_some() {
-            eprintln!("{:>8} {event:?}", self.now);
-        }
         let at = match &event {
             Event::Heard { to: at, .. } | Event::Tick { at, .. } | Event::Send { at, .. } => Some(*at),
             Event::Again { at, .. } | Event::Came { at, .. } | Event::TimeOut { at, .. } => Some(*at),
