Ask takeover in the name of a term, so that a late host changes nothing of its follower's

A host that lost its work and speaks late could mark its follower's attempt of the same number as never run. Each ask about a work now names the term that its host was told; another's is passed over.

--- a/pure/takeover/src/hold.rs
+++ b/pure/takeover/src/hold.rs
@@ -1,6 +1,6 @@
 //! What the host of a work asks for: to send an attempt, that one ended, the final answer, that it stops.
 
-use crate::holding::Pending;
+use crate::holding::{Holding, Pending};
 use crate::message::Told;
 use crate::owner::Owner;
 use crate::part::At;
@@ -8,8 +8,13 @@
 use crate::setup::Fault;
 
 impl Owner {
-    pub fn intend(&mut self, at: &mut At, ticket: u64, key: Key, number: u8, group: u32) {
-        let Some(holding) = self.held.get_mut(&key).filter(|holding| holding.record.answer.is_none()) else {
+    /// The work, where it is still the one that the host was told of.
+    fn of_term(&mut self, key: Key, term: u64) -> Option<&mut Holding> {
+        self.held.get_mut(&key).filter(|holding| holding.ballot.term == term)
+    }
+
+    pub fn intend(&mut self, at: &mut At, ticket: u64, (key, term): (Key, u64), number: u8, group: u32) {
+        let Some(holding) = self.of_term(key, term).filter(|holding| holding.record.answer.is_none()) else {
             return at.tell(Told::Lost { ticket });
         };
         holding.refresh(at.now);
@@ -22,7 +27,6 @@
             Proof::Again { left, .. } => Some(at.now.saturating_add(left)),
             Proof::Over => return at.tell(Told::Refused { ticket }),
         };
-        let term = holding.ballot.term;
         let twice = holding.record.attempts.iter().any(|a| a.term == term && a.number == number);
         if twice || holding.record.attempts.len() >= ATTEMPTS {
             return at.tell(Told::Refused { ticket });
@@ -34,10 +38,9 @@
         self.arm(key);
     }
 
-    pub fn ended(&mut self, at: &mut At, key: Key, number: u8, end: End) {
-        let Some(holding) = self.held.get_mut(&key) else { return };
+    pub fn ended(&mut self, at: &mut At, (key, term): (Key, u64), number: u8, end: End) {
+        let Some(holding) = self.of_term(key, term) else { return };
         holding.refresh(at.now);
-        let term = holding.ballot.term;
         let own = |a: &&mut Attempt| a.term == term && a.number == number;
         let Some(attempt) = holding.record.attempts.iter_mut().find(own) else { return };
         attempt.ended = Some(end);
@@ -48,8 +51,8 @@
         self.arm(key);
     }
 
-    pub fn done(&mut self, at: &mut At, ticket: u64, key: Key, answer: Answer) {
-        let Some(holding) = self.held.get_mut(&key) else { return at.tell(Told::Lost { ticket }) };
+    pub fn done(&mut self, at: &mut At, ticket: u64, (key, term): (Key, u64), answer: Answer) {
+        let Some(holding) = self.of_term(key, term) else { return at.tell(Told::Lost { ticket }) };
         if holding.record.answer.is_some() {
             return at.tell(Told::Lost { ticket });
         }
@@ -64,8 +67,8 @@
     }
 
     /// The host stops: the next that waits here goes on, else whoever the seats tell.
-    pub fn let_go(&mut self, at: &mut At, key: Key, over: bool) {
-        let Some(holding) = self.held.get_mut(&key).filter(|holding| holding.record.answer.is_none()) else {
+    pub fn let_go(&mut self, at: &mut At, (key, term): (Key, u64), over: bool) {
+        let Some(holding) = self.of_term(key, term).filter(|holding| holding.record.answer.is_none()) else {
             return;
         };
         holding.refresh(at.now);
--- a/pure/takeover/src/message.rs
+++ b/pure/takeover/src/message.rs
@@ -53,7 +53,8 @@
     Unknown,
 }
 
-/// What this process asks. Where a ticket is given, it is answered exactly once.
+/// What this process asks. Where a ticket is given, it is answered exactly once. `term`: of the record that the asker was
+/// told as its own; whoever comes with another is too late.
 #[derive(Clone, Debug)]
 pub enum Ask {
     /// A client has come. `again`: its work was lost to another owner; it waits for that one's answer.
@@ -68,22 +69,26 @@
     Intend {
         ticket: u64,
         key: Key,
+        term: u64,
         number: u8,
         group: u32,
     },
     Ended {
         key: Key,
+        term: u64,
         number: u8,
         end: End,
     },
     Done {
         ticket: u64,
         key: Key,
+        term: u64,
         answer: Answer,
     },
     /// The owner's host stops. `over`: its client was told to come again, and no one need go on.
     LetGo {
         key: Key,
+        term: u64,
         over: bool,
     },
     /// The process leaves: all that another could go on with is handed over at once.
--- a/pure/takeover/src/part.rs
+++ b/pure/takeover/src/part.rs
@@ -114,10 +114,12 @@
             Ask::Claim { ticket, key, work, left, again } => {
                 self.owner.join(at, ticket, key, work, left, again)
             }
-            Ask::Intend { ticket, key, number, group } => self.owner.intend(at, ticket, key, number, group),
-            Ask::Ended { key, number, end } => self.owner.ended(at, key, number, end),
-            Ask::Done { ticket, key, answer } => self.owner.done(at, ticket, key, answer),
-            Ask::LetGo { key, over } => self.owner.let_go(at, key, over),
+            Ask::Intend { ticket, key, term, number, group } => {
+                self.owner.intend(at, ticket, (key, term), number, group)
+            }
+            Ask::Ended { key, term, number, end } => self.owner.ended(at, (key, term), number, end),
+            Ask::Done { ticket, key, term, answer } => self.owner.done(at, ticket, (key, term), answer),
+            Ask::LetGo { key, term, over } => self.owner.let_go(at, (key, term), over),
             Ask::LetGoAll => self.owner.leave(at),
         }
     }
