Cover a request from its claim to its answer, in the core and for its caches

The core gets two small traits: who keeps the record (`Cover`), and one request that is this process's (`Hold`). With none set a request goes as it did, after one look whether there is one. A covered one is claimed, runs through the same function, is noted before an attempt and looked at right before the first byte, and its answer is kept before its front has it; lost, its client waits for the next owner's answer. What is taken over runs through the same function for nobody here. `proxy/src/cover` implements both over the fleet's part; `cover(…, terms = True)` in the operator's file adds `Via-Term` to attempts, so that a receiver may refuse an old one.

--- a/core/src/attempt.rs
+++ b/core/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One attempt, as the core hands it to whoever makes it.
 
+use crate::cover::Hold;
 use crate::inquiry::Inquiry;
 use crate::orders::Target;
 pub use crate::slot::Line;
@@ -15,6 +16,8 @@
     pub target: &'a Target,
     /// When the client gives up.
     pub deadline: Instant,
+    /// Asked right before the first byte, where the request is covered.
+    pub guard: Option<&'a dyn Hold>,
 }
 
 /// What an answer brought: the bytes, by their place in the buffer, or word that the client has them.
--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -4,6 +4,7 @@
 use crate::attempt::Tries;
 use crate::buffers::Buffers;
 use crate::clock::Clock;
+use crate::cover::{Cover, Hold};
 use crate::inquiry::{Answer, Inquiry, Reply};
 use crate::limits::Limiter;
 use crate::members::{Listed, Members};
@@ -20,7 +21,14 @@
     pub(crate) _claim: Claim,
     pub(crate) inquiry: Inquiry,
     pub(crate) slot: Arc<Slot>,
-    pub(crate) reply: Box<dyn Reply>,
+    pub(crate) work: Work,
+}
+
+/// Whom a request is run for.
+pub(crate) enum Work {
+    Client(Box<dyn Reply>),
+    /// Nobody here: it was taken over.
+    Taken(Box<dyn Hold>),
 }
 
 /// Takes requests from all fronts, up to a bound, each on a thread that is used again.
@@ -33,6 +41,8 @@
     pub tally: Tally,
     /// Limits by class and route, where the operator's file has them.
     pub limits: OnceLock<Arc<Limiter>>,
+    /// Who keeps the records of covered requests, where the operator's file has a fleet.
+    pub cover: OnceLock<Arc<dyn Cover>>,
     /// Advised with a refusal of the core's own.
     pub shed_wait: Time,
     /// How long after its start a member may still be cold.
@@ -70,6 +80,7 @@
             upstream,
             tally: Tally::default(),
             limits: OnceLock::new(),
+            cover: OnceLock::new(),
             shed_wait,
             cold_for,
             most,
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -3,6 +3,7 @@
 use crate::attempt::{Attempt, Got};
 use crate::clock::span;
 use crate::core::Core;
+use crate::cover::{self, Hold, Intended};
 pub use crate::inquiry::Inquiry;
 use crate::inquiry::{ask, left, Answer, Reply, Served};
 use crate::limits::{Allowed, Entered, Held};
@@ -30,23 +31,39 @@
     }
 }
 
-/// The one place where a request lives: admitted, asked, attempted, reported, repeated, answered.
+/// What became of a request.
+pub(crate) enum Came {
+    Answer(End, Answer),
+    /// The client left: nothing is owed.
+    Over,
+    /// Another process owns it by now.
+    Lost,
+}
+
+/// A request, from its ask to its answer; covered or not.
 pub(crate) fn serve(core: &Core, inquiry: Inquiry, slot: &Arc<Slot>, reply: Box<dyn Reply>) {
-    let Some(mut bytes) = core.buffers.lease() else {
-        return core.shed(&inquiry.class_name, reply);
-    };
+    if let Some(cover) = core.cover.get() {
+        return cover::serve(core, &**cover, inquiry, slot, reply);
+    }
+    if let Came::Answer(end, answer) = run(core, &inquiry, slot, None) {
+        core.tally.end(Some(&inquiry.class_name), end);
+        reply.answer(answer);
+    }
+}
+
+/// The one place where a request lives: admitted, asked, attempted, reported, repeated.
+pub(crate) fn run(core: &Core, inquiry: &Inquiry, slot: &Arc<Slot>, hold: Option<&dyn Hold>) -> Came {
+    let shed = |wait| Came::Answer(End::Shed, Answer::Shed { wait });
+    let Some(mut bytes) = core.buffers.lease() else { return shed(core.shed_wait) };
     let mut deadline = inquiry.arrived + span(inquiry.budget);
-    let mut limits = match admit(core, &inquiry, deadline) {
+    let mut limits = match admit(core, inquiry, deadline) {
         Ok(limits) => limits,
-        Err(wait) => {
-            core.tally.end(Some(&inquiry.class_name), End::Shed);
-            return reply.answer(Answer::Shed { wait });
-        }
+        Err(wait) => return shed(wait),
     };
     limits.iter().for_each(|held| deadline = deadline.min(held.deadline(inquiry.arrived)));
     let (sender, orders) = bounded(ORDERS);
     let _ended = Ended(core, slot.id);
-    let asked = Ask { budget: left(deadline), ..ask(&inquiry, slot.id, 0) };
+    let asked = Ask { budget: left(deadline), ..ask(inquiry, slot.id, 0) };
     core.desk.tell(Notice::Ask { ask: asked, slot: slot.clone(), orders: Box::new(sender) });
     let (end, answer) = loop {
         match orders.recv_deadline(deadline + span(UNORDERED)) {
@@ -58,12 +75,25 @@
                     core.report(slot.id, &target, Outcome::NeverSent, true);
                     break limited(core, limits.as_ref());
                 }
+                match hold.map_or(Intended::Yes, |hold| intend(core, hold, &fetch)) {
+                    Intended::Yes => {}
+                    Intended::No => {
+                        core.report(slot.id, &target, Outcome::NeverSent, false);
+                        continue;
+                    }
+                    Intended::Lost => {
+                        core.report(slot.id, &target, Outcome::NeverSent, true);
+                        return Came::Lost;
+                    }
+                }
                 limits.iter().for_each(|held| held.narrow(&mut fetch));
                 let began = Instant::now();
-                let attempt = Attempt { inquiry: &inquiry, slot, fetch: &fetch, target: &target, deadline };
+                let attempt =
+                    Attempt { inquiry, slot, fetch: &fetch, target: &target, deadline, guard: hold };
                 let (outcome, got) = core.upstream.attempt(&attempt, &mut bytes);
                 core.tally.sent(&inquiry.class_name, outcome);
                 drop(fill);
+                hold.iter().for_each(|hold| hold.ended(outcome));
                 limits.iter_mut().for_each(|held| held.heard(began, got.is_some(), outcome.never_ran()));
                 let last = got.is_some() || slot.left();
                 core.report(slot.id, &target, outcome, last);
@@ -77,12 +107,16 @@
                 let wait = limits.as_ref().map_or(wait, |held| held.advice(wait));
                 break (End::Refused, Answer::Shed { wait });
             }
-            Ok(Order::Over) => return,
+            Ok(Order::Over) => return Came::Over,
             Ok(Order::Fail) | Err(_) => break (End::Failed, Answer::Failed),
         }
     };
-    core.tally.end(Some(&inquiry.class_name), end);
-    reply.answer(answer);
+    Came::Answer(end, answer)
+}
+
+/// The record says where the attempt goes before a byte of it leaves.
+fn intend(core: &Core, hold: &dyn Hold, fetch: &Fetch) -> Intended {
+    core.members.get(fetch.cache).map_or(Intended::No, |listed| hold.intend(&listed.member))
 }
 
 /// A place among those of the request's limits, where there are any; else how long to stay away (us). Waits for one as
--- a/core/src/threads.rs
+++ b/core/src/threads.rs
@@ -1,6 +1,7 @@
 //! The threads of requests: as many as were ever open at once, up to a bound, each used again.
 
-use crate::core::{Claim, Core, Job};
+use crate::core::{Claim, Core, Job, Work};
+use crate::cover::{self, Hold};
 use crate::inquiry::{Answer, Inquiry, Reply};
 use crate::request::serve;
 use crate::slot::Slot;
@@ -22,7 +23,21 @@
             self.tally.end(Some(&inquiry.class_name), End::Failed);
             return reply.answer(Answer::Failed);
         };
-        let job = Job { _claim: claim, inquiry, slot, reply };
+        if let Some(job) = self.give(Job { _claim: claim, inquiry, slot, work: Work::Client(reply) }) {
+            if let Work::Client(reply) = job.work {
+                self.shed(&job.inquiry.class_name, reply);
+            }
+        }
+    }
+
+    /// Starts a request that was taken over; false where the program is full: then it is let go.
+    pub fn start_taken(self: &Arc<Core>, inquiry: Inquiry, slot: Arc<Slot>, hold: Box<dyn Hold>) -> bool {
+        let Some(claim) = Claim::on(self, inquiry.via) else { return false };
+        self.give(Job { _claim: claim, inquiry, slot, work: Work::Taken(hold) }).is_none()
+    }
+
+    /// Gives a thread the job, or the job back where there is no room for it.
+    fn give(self: &Arc<Core>, job: Job) -> Option<Job> {
         let refused = if self.open.fetch_add(1, Ordering::SeqCst) >= self.most {
             Some(job)
         } else {
@@ -33,10 +48,10 @@
                 Err(_) => Some(job),
             }
         };
-        if let Some(job) = refused {
+        if refused.is_some() {
             self.open.fetch_sub(1, Ordering::SeqCst);
-            self.shed(&job.inquiry.class_name, job.reply);
         }
+        refused
     }
 
     fn idle(&self) -> MutexGuard<'_, Vec<Sender<Job>>> {
@@ -51,9 +66,12 @@
         let thread = thread::Builder::new().name("request".into()).stack_size(STACK);
         thread.spawn(move || {
             for job in jobs {
-                let Job { _claim, inquiry, slot, reply } = job;
+                let Job { _claim, inquiry, slot, work } = job;
                 // Guards against a fault in one request ending the thread: its drops have given all back.
-                let _ = catch_unwind(AssertUnwindSafe(|| serve(&core, inquiry, &slot, reply)));
+                let _ = catch_unwind(AssertUnwindSafe(|| match work {
+                    Work::Client(reply) => serve(&core, inquiry, &slot, reply),
+                    Work::Taken(hold) => cover::finish(&core, inquiry, &slot, &*hold),
+                }));
                 core.idle().push(own.clone());
                 core.open.fetch_sub(1, Ordering::SeqCst);
             }
--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -10,7 +10,8 @@
 pub mod values;
 
 pub use values::{
-    AskRule, Dns, Durable, ExtProc, Fleet, Hierarchy, LedgerFile, Operator, Relay, Tls, TokenKey,
+    AskRule, Cover, Dns, Durable, ExtProc, Fleet, Hierarchy, LedgerFile, Operator, Relay, Tls, TokenKey,
+    Unclaimed, Uncovered,
 };
 
 use std::path::Path;
--- a/operator/src/script/fleet.rs
+++ b/operator/src/script/fleet.rs
@@ -150,6 +150,7 @@
         #[starlark(require = named, default = "run")] uncovered: &str,
         #[starlark(require = named, default = "finish")] unclaimed: &str,
         #[starlark(require = named, default = 2_000i64)] keep_ms: i64,
+        #[starlark(require = named, default = false)] terms: bool,
         eval: &mut Evaluator,
     ) -> anyhow::Result<NoneType> {
         let uncovereds = [("run", Uncovered::Run), ("refuse", Uncovered::Refuse)];
@@ -159,6 +160,7 @@
             uncovered: one_of("uncovered", uncovered, &uncovereds)?,
             unclaimed: one_of("unclaimed", unclaimed, &unclaimeds)?,
             keep_ms: whole("keep_ms", keep_ms)?,
+            terms,
         })?;
         add(|parts| &mut parts.covers, |cover| &cover.class, ("cover", here(eval)), cover)
     }
--- a/operator/src/values/fleet.rs
+++ b/operator/src/values/fleet.rs
@@ -68,6 +68,8 @@
     /// How long an answer is kept for a client that comes again.
     #[garde(range(min = 1, max = 600_000))]
     pub keep_ms: u64,
+    /// The receiver understands terms: each attempt says its own.
+    pub terms: bool,
 }
 
 /// What becomes of a reader that is slower than its stream.
--- /dev/null
+++ b/proxy/src/cover/hold.rs
@@ -0,0 +1,139 @@
+//! One request that this process owns, for its thread.
+
+use super::line::Line;
+use super::rules::Class;
+use foldmux::interface::{Member, Outcome};
+use foldmux_core::cover::{Final, Hold, Intended};
+use foldmux_takeover::{Answer, Ask, End, Key, Lease, Proof, Record, Told};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
+use std::sync::Arc;
+use std::time::Instant;
+
+pub struct Held {
+    line: Arc<Line>,
+    class: Class,
+    key: Key,
+    term: u64,
+    lease: Lease,
+    within: Option<u32>,
+    until: Instant,
+    number: AtomicU8,
+    may_have_run: AtomicBool,
+    /// Its answer is kept, or it was let go, or lost.
+    closed: AtomicBool,
+}
+
+impl Held {
+    pub fn new(
+        line: &Arc<Line>,
+        class: Class,
+        key: Key,
+        record: &Record,
+        proof: Proof,
+        lease: Lease,
+        until: Instant,
+    ) -> Held {
+        let term = record.ballot.term;
+        let within = match proof {
+            Proof::Again { within, .. } => within,
+            Proof::NeverRan | Proof::Over => None,
+        };
+        // Numbers go on from those of this term, if another client here had it first.
+        let number = record.attempts.iter().filter(|a| a.term == term).map(|a| a.number).max().unwrap_or(0);
+        Held {
+            line: line.clone(),
+            class,
+            key,
+            term,
+            lease,
+            within,
+            until,
+            number: AtomicU8::new(number),
+            may_have_run: AtomicBool::new(proof != Proof::NeverRan),
+            closed: AtomicBool::new(false),
+        }
+    }
+
+    fn lost(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+        self.line.counts.lost.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn let_go(&self, over: bool) {
+        if !self.closed.swap(true, Ordering::SeqCst) {
+            self.line.say(Ask::LetGo { key: self.key, term: self.term, over });
+        }
+    }
+}
+
+impl Hold for Held {
+    fn within(&self) -> Option<u32> {
+        self.within
+    }
+
+    fn intend(&self, member: &Member) -> Intended {
+        let (key, term) = (self.key, self.term);
+        let number = self.number.fetch_add(1, Ordering::SeqCst) + 1;
+        let group = self.class.repeat.group_of(member);
+        let told = self.line.ask(self.until, |ticket| Ask::Intend { ticket, key, term, number, group });
+        match told {
+            Some(Told::Written { .. }) => Intended::Yes,
+            Some(Told::Refused { .. }) => Intended::No,
+            Some(_) => {
+                self.lost();
+                Intended::Lost
+            }
+            None => Intended::Lost,
+        }
+    }
+
+    fn may_send(&self) -> bool {
+        self.line.now().is_some_and(|now| self.lease.may_send(now))
+    }
+
+    fn term(&self) -> Option<u64> {
+        // Later attempts under one term are above its earlier ones, too.
+        self.class.terms.then(|| self.term << 8 | u64::from(self.number.load(Ordering::SeqCst)))
+    }
+
+    fn ended(&self, outcome: Outcome) {
+        let number = self.number.load(Ordering::SeqCst);
+        let end = if outcome.never_ran() { End::NeverRan } else { End::MayHaveRun };
+        if end == End::MayHaveRun {
+            self.may_have_run.store(true, Ordering::SeqCst);
+        }
+        self.line.say(Ask::Ended { key: self.key, term: self.term, number, end });
+    }
+
+    fn may_have_run(&self) -> bool {
+        self.may_have_run.load(Ordering::SeqCst)
+    }
+
+    fn done(&self, answer: Final) -> bool {
+        let (key, term) = (self.key, self.term);
+        let answer = match answer {
+            Final::Served(bytes) => Answer::Served(bytes),
+            Final::Same => Answer::Same,
+            Final::Failed => Answer::Failed,
+        };
+        let told = self.line.ask(self.until, |ticket| Ask::Done { ticket, key, term, answer });
+        let kept = matches!(told, Some(Told::Written { .. }));
+        match told {
+            Some(Told::Written { .. }) => self.closed.store(true, Ordering::SeqCst),
+            Some(_) => self.lost(),
+            None => {}
+        }
+        kept
+    }
+
+    fn over(&self) {
+        self.let_go(true);
+    }
+}
+
+impl Drop for Held {
+    /// Guards against a request that ends with nothing said of it: the next in line goes on with it.
+    fn drop(&mut self) {
+        self.let_go(false);
+    }
+}
--- /dev/null
+++ b/proxy/src/cover/rules.rs
@@ -0,0 +1,100 @@
+//! What the operator's file and the settings say of covered classes.
+
+use foldmux::interface::Repeat as Repeats;
+use foldmux_operator::{Fleet as Said, Unclaimed as Left, Uncovered as Not};
+use foldmux_seats::{Drift, Peer, Seats};
+use foldmux_settings::Decoded;
+use foldmux_takeover::{Repeat, Rule, Rules, Setup, Unclaimed, Uncovered};
+use std::collections::HashMap;
+use std::hash::{BuildHasher, Hasher, RandomState};
+use std::sync::Arc;
+
+/// A covered class, as requests of it go by it.
+#[derive(Clone, Copy)]
+pub struct Class {
+    pub repeat: Repeats,
+    pub terms: bool,
+    /// What can't be covered is refused.
+    pub refuse: bool,
+}
+
+#[derive(Default)]
+pub struct Classes(HashMap<Arc<str>, (Class, Arc<usize>)>);
+
+impl Classes {
+    pub fn get(&self, name: &str) -> Option<&Class> {
+        self.0.get(name).map(|(class, _)| class)
+    }
+
+    pub fn place(&self, name: &str) -> Arc<usize> {
+        self.0.get(name).map(|(_, place)| place.clone()).unwrap_or_default()
+    }
+
+    /// `places`: the classes as the fronts serve them.
+    pub fn new<'a>(
+        said: &Said,
+        decoded: &Decoded,
+        places: impl Iterator<Item = (&'a Arc<str>, &'a Arc<usize>)>,
+    ) -> Classes {
+        let places: HashMap<&str, &Arc<usize>> = places.map(|(name, place)| (&**name, place)).collect();
+        let one = |cover: &foldmux_operator::Cover| {
+            let at = decoded.classes.iter().position(|class| *class == cover.class)?;
+            let repeat = decoded.settings.classes[at].repeat;
+            let class = Class { repeat, terms: cover.terms, refuse: cover.uncovered == Not::Refuse };
+            Some((Arc::from(cover.class.as_str()), (class, (*places.get(cover.class.as_str())?).clone())))
+        };
+        Classes(said.covers.iter().filter_map(|said| one(&said.value)).collect())
+    }
+}
+
+/// `open`: requests that this process has at once; `memory_mb`: what it may use.
+pub fn setup(
+    said: &Said,
+    name: &str,
+    decoded: &Decoded,
+    open: usize,
+    memory_mb: u64,
+    seed: u64,
+) -> Result<Setup, String> {
+    let drift = Drift::percent(said.drift_percent).map_err(|e| format!("fleet: {e}"))?;
+    let seats =
+        Seats::new(said.seats.iter().map(|name| Peer::new(name))).map_err(|e| format!("fleet: {e}"))?;
+    let way = said.round_trip_ms * 1_000;
+    let (mut rules, mut longest) = (Rules::new(), 0);
+    for cover in said.covers.iter().map(|said| &said.value) {
+        let Some(at) = decoded.classes.iter().position(|class| *class == cover.class) else { continue };
+        let class = &decoded.settings.classes[at];
+        // A repeat is on its way to the archive for a while, and the archive's clock is its own.
+        let window = drift.shortened(class.repeat_window).saturating_sub(way);
+        let rule = Rule {
+            uncovered: if cover.uncovered == Not::Refuse { Uncovered::Refuse } else { Uncovered::Run },
+            unclaimed: if cover.unclaimed == Left::Finish { Unclaimed::Finish } else { Unclaimed::LetGo },
+            keep: cover.keep_ms * 1_000,
+            repeat: match class.repeat {
+                Repeats::Safe => Repeat::Safe,
+                Repeats::Keyed(_) => Repeat::Keyed { window },
+                Repeats::SingleShot => Repeat::SingleShot,
+            },
+        };
+        longest = longest.max(class.deadline);
+        rules.insert(cover.class.as_str().into(), rule);
+    }
+    // A tenth of the memory for what other processes' requests need remembered; a record has a kilobyte, at the least.
+    let bytes = memory_mb as usize * 1024 * 1024 / 10;
+    Ok(Setup {
+        name: Peer::new(name),
+        session: RandomState::new().build_hasher().finish(),
+        seats,
+        rules,
+        lease: said.lease_ms * 1_000,
+        drift,
+        longest,
+        // Nothing of a seat's promises is on a disk: it is silent for a window after each start.
+        memory: false,
+        records: bytes / 1024,
+        bytes,
+        works: 2 * open,
+        waiters: open,
+        seed,
+    })
+}
--- a/shared/fleet/src/setup.rs
+++ b/shared/fleet/src/setup.rs
@@ -88,7 +88,7 @@
         let body = Body { places, alive, links: linked, counts: counted, faults: Box::new(faults), began };
         let thread = thread::Builder::new().name("fleet".to_string()).stack_size(STACK);
         let thread = Some(thread.spawn(move || body.run(&waiting, incoming))?);
-        Ok(Fleet { jobs, thread, links, counts })
+        Ok(Fleet { jobs, thread, links, counts, began })
     }
 }
 
@@ -98,9 +98,15 @@
     thread: Option<JoinHandle<()>>,
     links: Arc<Links>,
     counts: Arc<Counts>,
+    began: Instant,
 }
 
 impl Fleet {
+    /// When the parts' time was 0: whoever looks at a lease of theirs goes by the same clock.
+    pub fn began(&self) -> Instant {
+        self.began
+    }
+
     pub fn links(&self) -> &Links {
         &self.links
     }
--- a/upstream/src/lib.rs
+++ b/upstream/src/lib.rs
@@ -74,6 +74,10 @@
         // Dialling took time, and the list may have changed in it: here, just before the first byte, the cache
         // and the source must still be allowed and be the starts that the module meant, with time left.
         let Some(head) = self.head(attempt, until) else { return (Outcome::NeverSent, None) };
+        // Whoever owns a covered request may have lost it in any of these waits.
+        if attempt.guard.is_some_and(|guard| !guard.may_send()) {
+            return (Outcome::NeverSent, None);
+        }
         let body = inquiry.body.as_ref().map_or(&[][..], |(lease, n)| &lease[..*n]);
         if let Err(broken) = write_all(&stream, &[head.as_bytes(), body], until) {
             return (outcome_of(broken), None);
@@ -112,6 +116,8 @@
         field("Via-Id", &format_args!("{via:016x}"));
         field("Via-Wait", &wait);
         inquiry.token.iter().for_each(|token| field("Via-Token", token));
+        let term = attempt.guard.and_then(|guard| guard.term());
+        term.iter().for_each(|term| field("Via-Term", term));
         source.iter().for_each(|source| field("X-Fill-From", source));
         if fetch.keep > 0 {
             field("X-Keep", &fetch.keep);
