--- a/pure/fair/src/division.rs
+++ b/pure/fair/src/division.rs
@@ -12,6 +12,15 @@
     slots / (2 * processes.max(1))
 }
 
+fn slots_of(thousandths: u32) -> f64 {
+    thousandths as f64 / 1_000.0
+}
+
+/// All that a process wants.
+pub fn wants(process: &Process) -> f64 {
+    process.wants.iter().map(|(_, n)| slots_of(*n)).sum()
+}
+
 /// Each tenant's slots, by its weight and what it wants.
 fn fair(slots: f64, tenants: &[(f64, f64)]) -> Vec<f64> {
     let mut order: Vec<usize> = (0..tenants.len()).collect();
@@ -43,21 +52,20 @@
     if fleet.is_empty() {
         return Vec::new();
     }
-    let mut wants: BTreeMap<u64, f64> = BTreeMap::new();
+    let mut want: BTreeMap<u64, f64> = BTreeMap::new();
     let told = fleet.iter().flat_map(|process| &process.wants);
-    told.for_each(|(tenant, n)| *wants.entry(*tenant).or_default() += *n as f64);
-    let nameless = wants.keys().filter(|tenant| weight(**tenant).is_none()).count().max(1);
+    told.for_each(|(tenant, n)| *want.entry(*tenant).or_default() += slots_of(*n));
+    let nameless = want.keys().filter(|tenant| weight(**tenant).is_none()).count().max(1);
     // One of no weight still gets what no other wants.
     let weigh = |tenant: u64| weight(tenant).map_or(unnamed as f64 / nameless as f64, |w| w as f64).max(1e-9);
-    let tenants: Vec<(f64, f64)> = wants.iter().map(|(tenant, n)| (weigh(*tenant), *n)).collect();
+    let tenants: Vec<(f64, f64)> = want.iter().map(|(tenant, n)| (weigh(*tenant), *n)).collect();
     let parts = fair(slots as f64, &tenants);
     let rate: BTreeMap<u64, f64> =
-        wants.iter().zip(&parts).map(|((tenant, n), part)| (*tenant, part / n)).collect();
+        want.iter().zip(&parts).map(|((tenant, n), part)| (*tenant, part / n)).collect();
     let idle = (slots as f64 - parts.iter().sum::<f64>()).max(0.0) / fleet.len() as f64;
     let of = |process: &Process| {
-        let own: f64 = process.wants.iter().map(|(tenant, n)| *n as f64 * rate[tenant]).sum();
-        let all: usize = process.wants.iter().map(|w| w.1 as usize).sum();
-        (own + idle).max(all.min(floor(slots, fleet.len())) as f64)
+        let own: f64 = process.wants.iter().map(|(tenant, n)| slots_of(*n) * rate[tenant]).sum();
+        (own + idle).max(wants(process).min(floor(slots, fleet.len()) as f64))
     };
     let exact: Vec<f64> = fleet.iter().map(of).collect();
     let mut whole: Vec<usize> = exact.iter().map(|part| (*part + 1e-9) as usize).collect();
@@ -74,8 +82,9 @@
     use super::*;
     use foldmux_seats::Peer;
 
-    fn process(n: usize, wants: &[(u64, u16)]) -> Process {
-        Process { peer: Peer::new(&format!("n{n}")), held: 0, wants: wants.to_vec() }
+    fn process(n: usize, wants: &[(u64, u32)]) -> Process {
+        let wants = wants.iter().map(|(tenant, n)| (*tenant, n * 1_000)).collect();
+        Process { peer: Peer::new(&format!("n{n}")), held: 0, wants }
     }
 
     #[test]
@@ -91,7 +100,7 @@
     fn what_no_one_wants_is_spread_and_what_one_claims_leaves_others_their_floor() {
         assert_eq!(targets(9, &[process(0, &[]), process(1, &[(1, 3)])], |_| None, 1_000), [3, 6]);
         let fleet: Vec<Process> =
-            (0..4).map(|n| process(n, &[(1, if n == 0 { u16::MAX } else { 20 })])).collect();
+            (0..4).map(|n| process(n, &[(1, if n == 0 { 65_000 } else { 20 })])).collect();
         let parts = targets(64, &fleet, |_| Some(1_000), 0);
         assert!(parts[1..].iter().all(|part| *part >= 8), "{parts:?}");
         let weights = |tenant| Some(if tenant == 1 { 0 } else { 1_000 });
--- a/pure/fair/src/flow.rs
+++ b/pure/fair/src/flow.rs
@@ -50,6 +50,14 @@
         self.running > 0 || self.waiting() > 0
     }
 
+    /// By which virtual time it goes: with a weight, without, or among those without a name.
+    pub fn class(&self) -> usize {
+        match self.bucket {
+            true => 2,
+            false => (self.weight.0 == 0) as usize,
+        }
+    }
+
     /// Which lane goes next.
     pub fn lane(&self) -> usize {
         match (self.lanes[QUICK].len, self.lanes[SLOW].len) {
@@ -73,13 +81,13 @@
     }
 
     /// Slot time, more or less than was charged so far.
-    pub fn charge(&mut self, lane: usize, time: Time, weight: Weight) {
-        self.tag += per_weight(time, weight);
+    pub fn charge(&mut self, lane: usize, time: Time) {
+        self.tag += per_weight(time, self.weight);
         self.inner[lane] += (time / PARTS[lane]) as Virtual;
     }
 
-    pub fn forgive(&mut self, lane: usize, time: Time, weight: Weight) {
-        self.tag = self.tag.saturating_sub(per_weight(time, weight));
+    pub fn forgive(&mut self, lane: usize, time: Time) {
+        self.tag = self.tag.saturating_sub(per_weight(time, self.weight));
         self.inner[lane] = self.inner[lane].saturating_sub((time / PARTS[lane]) as Virtual);
     }
 
--- a/pure/fair/src/holder.rs
+++ b/pure/fair/src/holder.rs
@@ -179,10 +179,6 @@
         slots.iter().for_each(|slot| {
             self.own.remove(slot);
         });
-        if planted(Fault::SlotReturnedTwice) {
-            // The book of the holder is right, and the word is said without looking.
-            return self.free(gave.iter().map(|g| g.slot).collect());
-        }
         self.free(slots)
     }
 }
--- a/pure/fair/src/lib.rs
+++ b/pure/fair/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod local;
 pub mod message;
 pub mod planted;
+mod pool;
 pub mod queue;
 pub mod refuse;
 pub mod seat;
@@ -25,6 +26,7 @@
 pub mod slow;
 pub mod stock;
 pub mod tenants;
+pub mod wish;
 
 pub use foldmux_seats::{Peer, Time};
 pub use message::{Ask, Message, Told};
--- a/pure/fair/src/planted.rs
+++ b/pure/fair/src/planted.rs
@@ -7,6 +7,7 @@
     NeverPutRight,
     RepeatPassesOthers,
     NoBoundOnCredit,
+    EachNameAWeight,
     NoBoundOnSlow,
     SlotReturnedTwice,
     GrantersClock,
--- /dev/null
+++ b/pure/fair/src/pool.rs
@@ -0,0 +1,113 @@
+//! One pool at one process, on the fleet's side: its seat's and its holder's books, what was heard of others, its part.
+
+use crate::digest::{Digest, Heard, Process, Use};
+use crate::division::{targets, wants};
+use crate::holder::Holder;
+use crate::message::{Message, PoolKey, Word};
+use crate::seat::Seat;
+use crate::slots::FleetSlots;
+use crate::{Peer, Time};
+use foldmux_seats::{Acts, Change, Do, Drift};
+use std::collections::BTreeMap;
+
+/// Wants that fall fade (us), those that rise are taken nearly as they come: slots would else be under way after each
+/// moment's needs, or too late.
+const FADE: f64 = 300_000.0;
+const RISE: f64 = 10_000.0;
+
+#[derive(Clone, Debug)]
+pub struct PoolSetup {
+    pub key: PoolKey,
+    pub slots: u16,
+    /// Longer than the longest request, as none starts that may outlast its slot's lease.
+    pub lease: Time,
+    pub weights: BTreeMap<u64, u64>,
+    pub unnamed: u64,
+}
+
+#[derive(Debug)]
+pub(crate) struct Pool {
+    pub setup: PoolSetup,
+    pub seat: Seat,
+    pub holder: Holder,
+    pub heard: Heard,
+    pub uses: Vec<Use>,
+    /// When they were last told here.
+    pub used: Time,
+    /// This process's part, as it was last worked out.
+    pub target: usize,
+    pub told: Option<Time>,
+    /// What this process was last told to hold at most.
+    pub most: Option<u16>,
+    pub news: bool,
+    pub leaving: bool,
+}
+
+impl Pool {
+    pub fn new(now: Time, life: u64, drift: Drift, setup: PoolSetup) -> Pool {
+        Pool {
+            seat: Seat::new(now, setup.slots, setup.lease, drift),
+            holder: Holder::new(life, setup.key, setup.lease, drift),
+            heard: Heard::default(),
+            uses: Vec::new(),
+            used: now,
+            target: 0,
+            told: None,
+            most: None,
+            news: false,
+            leaving: false,
+            setup,
+        }
+    }
+
+    /// To those who want more, what is vacant at this seat.
+    pub fn offer(&mut self, now: Time, out: &mut Acts<FleetSlots>) {
+        if self.seat.wanted() {
+            for (to, slots) in self.seat.offers(now) {
+                let message = Message { pool: self.setup.key, word: Word::Vacant { slots } };
+                out.push(Do::Send { to, message });
+            }
+        }
+    }
+
+    pub fn claim(&mut self, now: Time, seats: &Change) -> Vec<Word> {
+        let short = self.target.saturating_sub(self.holder.held());
+        self.holder.step(now, seats, short)
+    }
+
+    /// What tenants want fades over [`FADE`]: slots would else be under way after each moment's needs.
+    pub fn uses(&mut self, now: Time, mut uses: Vec<Use>) {
+        let span = now.saturating_sub(std::mem::replace(&mut self.used, now)) as f64;
+        let was: BTreeMap<u64, u32> = self.uses.iter().map(|u| (u.tenant, u.wants)).collect();
+        for one in &mut uses {
+            let old = was.get(&one.tenant).copied().unwrap_or_default() as f64;
+            let fade = if one.wants as f64 > old { RISE } else { FADE };
+            one.wants = (old + (one.wants as f64 - old) * span / (span + fade)) as u32;
+        }
+        self.uses = uses;
+    }
+
+    pub fn digest(&self) -> Digest {
+        let held = self.holder.held().min(u16::MAX as usize) as u16;
+        Digest { life: self.holder.life, held, uses: self.uses.clone() }
+    }
+
+    /// This process's part, and what others lack of theirs.
+    pub fn divide(&mut self, now: Time, own: &Peer) -> (usize, usize) {
+        let own_wants = self.uses.iter().filter(|u| u.wants > 0).map(|u| (u.tenant, u.wants)).collect();
+        let mut fleet = self.heard.fleet(now);
+        fleet.push(Process { peer: own.clone(), held: self.holder.held(), wants: own_wants });
+        fleet.sort_by(|a, b| a.peer.cmp(&b.peer));
+        let PoolSetup { slots, weights, unnamed, .. } = &self.setup;
+        let parts = targets(*slots as usize, &fleet, |tenant| weights.get(&tenant).copied(), *unnamed);
+        let (mut target, mut short) = (0, 0);
+        for (process, part) in fleet.iter().zip(parts) {
+            match process.peer == *own {
+                true => target = part,
+                // One that only lacks spare slots calls nothing back.
+                false => short += part.min(wants(process).ceil() as usize).saturating_sub(process.held),
+            }
+        }
+        (target, short)
+    }
+}
--- a/pure/fair/src/queue.rs
+++ b/pure/fair/src/queue.rs
@@ -6,65 +6,17 @@
 //! charged too much, catches up by one longest request at most. Hence the bound for one that comes with no debt while `n`
 //! other tenants wait, each request within `longest`: it starts within `(2 * n * longest) / slots + longest`.
 
-use crate::flow::{per_weight, Flow, Key, Virtual, QUICK, SLOW};
+use crate::flow::{per_weight, stand, Flow, Key, Virtual, QUICK, SLOW};
 use crate::lanes::Lanes;
 pub use crate::lanes::Ticket;
 use crate::planted::{planted, Fault};
 use crate::refuse::{self, Standing};
 use crate::tenants::{Tenants, Weight};
+pub use crate::wish::{Entered, Next, Place, Setup, Wish};
 use crate::Time;
 use slab::Slab;
 use std::collections::BTreeSet;
 
-#[derive(Clone, Copy, Debug)]
-pub struct Setup {
-    pub slots: usize,
-    /// Of the slots, for slow ones while quick ones wait; a third at least.
-    pub slow_share: f64,
-    /// The longest that a request holds a slot.
-    pub longest: Time,
-    pub waiting: usize,
-    pub buckets: u32,
-    /// What all tenants without a name weigh together.
-    pub unnamed: Weight,
-}
-
-/// One that wants a slot.
-#[derive(Clone, Copy, Debug)]
-pub struct Wish<'a> {
-    pub id: u64,
-    pub tenant: &'a str,
-    pub cost: Time,
-    pub slow: bool,
-    /// After this a start is of no use.
-    pub latest: Time,
-    /// It was attempted before: charged as any, and behind all of its tenant that wait.
-    pub repeat: bool,
-}
-
-/// A slot of this process in use; given back once, by [`Queue::ended`].
-#[derive(Debug, PartialEq, Eq)]
-pub struct Place(usize);
-
-#[derive(Debug, PartialEq, Eq)]
-pub enum Entered {
-    Now(Place),
-    Waits(Ticket),
-    Refused { wait: Time },
-}
-
-#[derive(Debug, PartialEq, Eq)]
-pub enum Next {
-    Start {
-        id: u64,
-        place: Place,
-    },
-    /// Its time is over: refused.
-    Late {
-        id: u64,
-    },
-}
-
 #[derive(Debug)]
 pub(crate) struct Run {
     pub flow: u32,
@@ -79,11 +31,13 @@
     pub(crate) tenants: Tenants,
     pub(crate) flows: Slab<Flow>,
     pub(crate) lanes: Lanes,
-    /// Who waits; and those of them, with a weight, whose quick ones do.
-    pub(crate) ready: BTreeSet<Key>,
-    pub(crate) quick: BTreeSet<Key>,
-    /// Of those with a weight, and of those without.
-    pub(crate) virtual_now: [Virtual; 2],
+    /// Who waits, those with a name and those without; and of both, with a weight, those whose quick ones do.
+    pub(crate) ready: [BTreeSet<Key>; 2],
+    pub(crate) quick: [BTreeSet<Key>; 2],
+    /// The start tag of the next of all that have no name: together they stand beside each that has one.
+    pub(crate) group: Virtual,
+    /// Of those with a weight, of those without, and among those without a name.
+    pub(crate) virtual_now: [Virtual; 3],
     pub(crate) runs: Slab<Run>,
     /// When what was charged is past.
     pub(crate) due: BTreeSet<(Time, usize)>,
@@ -99,16 +53,17 @@
         let tenants = Tenants::new(setup.buckets, setup.unnamed);
         let mut flows = Slab::new();
         (0..tenants.buckets()).for_each(|_| {
-            flows.insert(Flow { weight: setup.unnamed, bucket: true, ..Flow::default() });
+            flows.insert(Flow { weight: Weight::ONE, bucket: true, ..Flow::default() });
         });
         Queue {
             setup,
             tenants,
             flows,
             lanes: Lanes::default(),
-            ready: BTreeSet::new(),
-            quick: BTreeSet::new(),
-            virtual_now: [0; 2],
+            ready: Default::default(),
+            quick: Default::default(),
+            group: 0,
+            virtual_now: [0; 3],
             runs: Slab::new(),
             due: BTreeSet::new(),
             slow: 0,
@@ -137,18 +92,15 @@
         let at = self.tenants.find(wish.tenant);
         let lane = wish.slow as usize;
         let cost = wish.cost.clamp(1, self.setup.longest.max(1));
-        if self.runs.len() < self.setup.slots && self.ready.is_empty() {
+        if self.runs.len() < self.setup.slots && self.ready.iter().all(BTreeSet::is_empty) {
             return Entered::Now(self.start(at, lane, cost));
         }
         if let Some(wait) = self.turned_away(at, lane, wish) {
             return Entered::Refused { wait };
         }
         self.change(at, |queue, at| {
-            let virtual_now = queue.virtual_now;
+            queue.wake(at);
             let flow = &mut queue.flows[at as usize];
-            if flow.waiting() == 0 {
-                flow.tag = flow.tag.max(virtual_now[(flow.weight.0 == 0) as usize]);
-            }
             if flow.lanes[lane].len == 0 {
                 flow.woken(lane);
             }
@@ -158,12 +110,23 @@
         })
     }
 
+    /// A tenant of which none waits comes back at the virtual time: having been away is no credit.
+    fn wake(&mut self, at: u32) {
+        let flow = &mut self.flows[at as usize];
+        if flow.bucket && self.ready[1].is_empty() {
+            self.group = self.group.max(self.virtual_now[self.tenants.group_class()]);
+        }
+        if flow.waiting() == 0 {
+            flow.tag = flow.tag.max(self.virtual_now[flow.class()]);
+        }
+    }
+
     fn turned_away(&self, at: u32, lane: usize, wish: &Wish) -> Option<Time> {
         let flow = &self.flows[at as usize];
-        let weight = self.weight(flow);
         // As it is once this one waits.
-        let weights = self.all_weights() + if flow.active() { 0 } else { weight.0 };
-        let now = self.virtual_now[0];
+        let more = if flow.active() { 0 } else { 1 };
+        let (weight, weights) = self.weights_with(flow, more);
+        let now = self.virtual_now[flow.class()];
         let start = if flow.waiting() == 0 { flow.tag.max(now) } else { flow.tag };
         let standing =
             Standing { start, now, ahead: flow.ahead(lane), weight, weights, slots: self.setup.slots };
@@ -180,8 +143,8 @@
             return None;
         }
         let full = self.slow >= self.slow_most() && !planted(Fault::NoBoundOnSlow);
-        let held_back = full && !self.quick.is_empty();
-        let at = if held_back { &self.quick } else { &self.ready }.first()?.1;
+        let held_back = full && self.quick.iter().any(|quick| !quick.is_empty());
+        let at = self.first(if held_back { &self.quick } else { &self.ready })?;
         self.change(at, |queue, at| {
             let flow = &mut queue.flows[at as usize];
             let lane = if held_back { QUICK } else { flow.lane() };
@@ -193,6 +156,15 @@
         })
     }
 
+    /// The tenant with the least tag; those without a name stand at that of their group.
+    fn first(&self, [named, unnamed]: &[BTreeSet<Key>; 2]) -> Option<u32> {
+        let group = stand(self.tenants.unnamed, self.group, u32::MAX);
+        match (named.first(), unnamed.first()) {
+            (Some(own), Some(other)) => Some(if *own <= group { own.1 } else { other.1 }),
+            (own, other) => own.or(other).map(|key| key.1),
+        }
+    }
+
     /// Slots for slow ones while quick ones wait: a third at least, and one.
     fn slow_most(&self) -> usize {
         let share = self.setup.slow_share.clamp(1.0 / 3.0, 1.0);
@@ -201,24 +173,27 @@
 
     fn start(&mut self, at: u32, lane: usize, cost: Time) -> Place {
         self.change(at, |queue, at| {
-            let class = (queue.flows[at as usize].weight.0 == 0) as usize;
-            let flow = &mut queue.flows[at as usize];
-            flow.tag = flow.tag.max(queue.virtual_now[class]);
-            flow.woken(lane);
+            queue.wake(at);
+            queue.flows[at as usize].woken(lane);
             queue.begin(at, lane, cost)
         })
     }
 
     fn begin(&mut self, at: u32, lane: usize, cost: Time) -> Place {
-        let weight = self.weight(&self.flows[at as usize]);
-        let class = (weight.0 == 0) as usize;
         let most = if planted(Fault::NoBoundOnCredit) { Time::MAX } else { self.setup.longest };
         let flow = &mut self.flows[at as usize];
-        let credit = per_weight(most, weight);
-        flow.tag = flow.tag.max(self.virtual_now[class].saturating_sub(credit));
-        self.virtual_now[class] = self.virtual_now[class].max(flow.tag);
+        let start = |tag: &mut Virtual, now: &mut Virtual, weight| {
+            *tag = (*tag).max(now.saturating_sub(per_weight(most, weight)));
+            *now = (*now).max(*tag);
+        };
+        let class = flow.class();
+        start(&mut flow.tag, &mut self.virtual_now[class], flow.weight);
+        if flow.bucket {
+            let class = self.tenants.group_class();
+            start(&mut self.group, &mut self.virtual_now[class], self.tenants.unnamed);
+        }
         flow.started(lane, most);
-        flow.charge(lane, cost, weight);
+        self.charge(at, lane, cost);
         self.slow += (lane == SLOW) as usize;
         let run = self.runs.insert(Run { flow: at, lane, began: self.now, charged: cost });
         self.due.insert((self.now.saturating_add(cost), run));
@@ -233,14 +208,13 @@
         let took = (self.now - began).max(1);
         self.slow -= (lane == SLOW) as usize;
         self.change(at, |queue, at| {
-            let weight = queue.weight(&queue.flows[at as usize]);
             let flow = &mut queue.flows[at as usize];
             flow.running -= 1;
             flow.used = flow.used.saturating_add(took);
             match took.checked_sub(charged) {
                 _ if planted(Fault::NeverPutRight) || planted(Fault::ChargeByCount) => {}
-                Some(more) => flow.charge(lane, more, weight),
-                None => flow.forgive(lane, charged - took, weight),
+                Some(more) => queue.charge(at, lane, more),
+                None => queue.forgive(at, lane, charged - took),
             }
         });
         self.let_go(at);
--- a/pure/fair/src/slots.rs
+++ b/pure/fair/src/slots.rs
@@ -6,30 +6,19 @@
 //! Idle ones are lent: a process keeps what it holds until another is short of its part, then gives back what it has over
 //! its own ([`crate::division`]), idle ones at once and those in use as they end.
 
-use crate::digest::{Digest, Heard, Process, Use};
-use crate::division::targets;
-use crate::holder::{Holder, Won};
+use crate::holder::Won;
 use crate::message::{Ask, Message, PoolKey, Told, Word};
-use crate::seat::Seat;
+use crate::pool::Pool;
+pub use crate::pool::PoolSetup;
 use crate::{Peer, Time};
 use foldmux_seats::{Acts, Change, Do, Drift, Part};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// A pool's division is worked out anew so often, and offers and digests go out (us).
 pub const STEP: Time = 20_000;
 /// With nothing to tell, a digest goes out so often (us).
 pub const DIGEST: Time = 200_000;
 
-#[derive(Clone, Debug)]
-pub struct PoolSetup {
-    pub key: PoolKey,
-    pub slots: u16,
-    /// Longer than the longest request, as none starts that may outlast its slot's lease.
-    pub lease: Time,
-    pub weights: BTreeMap<u64, u64>,
-    pub unnamed: u64,
-}
-
 #[derive(Clone, Debug)]
 pub struct FleetSetup {
     pub own: Peer,
@@ -41,20 +30,6 @@
     pub pools: Vec<PoolSetup>,
 }
 
-#[derive(Debug)]
-struct Pool {
-    setup: PoolSetup,
-    seat: Seat,
-    holder: Holder,
-    heard: Heard,
-    uses: Vec<Use>,
-    told: Option<Time>,
-    /// What this process was last told to hold at most.
-    most: Option<u16>,
-    news: bool,
-    leaving: bool,
-}
-
 /// All pools of the fleet, at one process.
 #[derive(Debug)]
 pub struct FleetSlots {
@@ -68,18 +43,7 @@
 impl FleetSlots {
     pub fn new(now: Time, setup: FleetSetup) -> FleetSlots {
         let FleetSetup { own, life, peers, seats, drift, pools } = setup;
-        let pool = |setup: PoolSetup| Pool {
-            seat: Seat::new(now, setup.slots, setup.lease, drift),
-            holder: Holder::new(life, setup.key, setup.lease, drift),
-            heard: Heard::default(),
-            uses: Vec::new(),
-            told: None,
-            most: None,
-            news: false,
-            leaving: false,
-            setup,
-        };
-        let pools = pools.into_iter().map(|setup| (setup.key, pool(setup))).collect();
+        let pools = pools.into_iter().map(|setup| (setup.key, Pool::new(now, life, drift, setup))).collect();
         let peers = peers.into_iter().filter(|peer| *peer != own).map(|peer| (peer, true)).collect();
         FleetSlots { own, peers, seats, pools, due: now }
     }
@@ -103,15 +67,13 @@
         for key in keys {
             let sits = self.seats.sits(now, &key.to_le_bytes(), &self.own);
             let Some(pool) = self.pools.get_mut(&key) else { continue };
-            if sits && pool.seat.wanted() {
-                for (to, slots) in pool.seat.offers(now) {
-                    out.push(Do::Send { to, message: Message { pool: key, word: Word::Vacant { slots } } });
-                }
+            if sits {
+                pool.offer(now, out);
             }
             let (target, short_elsewhere) = pool.divide(now, &self.own);
             let held = pool.holder.held();
-            let short = if pool.leaving { 0 } else { target.saturating_sub(held) };
-            let words = pool.holder.step(now, &self.seats, short);
+            pool.target = if pool.leaving { 0 } else { target };
+            let words = pool.claim(now, &self.seats);
             let back = held.saturating_sub(target).min(short_elsewhere);
             let most = if back > 0 { (held - back) as u16 } else { u16::MAX };
             if pool.most.replace(most) != Some(most) {
@@ -133,33 +95,6 @@
     }
 }
 
-impl Pool {
-    fn digest(&self) -> Digest {
-        let held = self.holder.held().min(u16::MAX as usize) as u16;
-        Digest { life: self.holder.life, held, uses: self.uses.clone() }
-    }
-
-    /// This process's part, and what others lack of theirs.
-    fn divide(&mut self, now: Time, own: &Peer) -> (usize, usize) {
-        let wants = self.uses.iter().filter(|u| u.wants > 0).map(|u| (u.tenant, u.wants)).collect();
-        let mut fleet = self.heard.fleet(now);
-        fleet.push(Process { peer: own.clone(), held: self.holder.held(), wants });
-        fleet.sort_by(|a, b| a.peer.cmp(&b.peer));
-        let PoolSetup { slots, weights, unnamed, .. } = &self.setup;
-        let parts = targets(*slots as usize, &fleet, |tenant| weights.get(&tenant).copied(), *unnamed);
-        let (mut target, mut short) = (0, 0);
-        for (process, part) in fleet.iter().zip(parts) {
-            let wants: usize = process.wants.iter().map(|w| w.1 as usize).sum();
-            match process.peer == *own {
-                true => target = part,
-                // One that only lacks spare slots calls nothing back.
-                false => short += part.min(wants).saturating_sub(process.held),
-            }
-        }
-        (target, short)
-    }
-}
-
 impl Part for FleetSlots {
     type Message = Message;
     type Ask = Ask;
@@ -176,15 +111,23 @@
                 let word = Word::Granted { life, number, slots, refused, vacant };
                 out.push(Do::Send { to: from.clone(), message: Message { pool: key, word } });
             }
-            Word::Free { life, number, slots } if sits => pool.seat.free(from, (life, number), &slots),
+            Word::Free { life, number, slots } if sits => {
+                pool.seat.free(from, (life, number), &slots);
+                pool.offer(now, out);
+            }
             Word::Granted { life, number, slots, refused, vacant } if life == pool.holder.life => {
                 let (won, word) = pool.holder.granted(now, from, (number, &slots, &refused));
                 pool.holder.vacant(vacant);
                 let held = |Won { slot, turn, until }| Told::Held { pool: key, slot, turn, until };
                 out.extend(won.into_iter().map(|won| Do::Tell(held(won))));
-                self.to_seats(now, key, word.into_iter().collect(), out);
+                let words = word.into_iter().chain(pool.claim(now, &self.seats)).collect();
+                self.to_seats(now, key, words, out);
+            }
+            Word::Vacant { slots } => {
+                pool.holder.vacant(slots);
+                let words = pool.claim(now, &self.seats);
+                self.to_seats(now, key, words, out);
             }
-            Word::Vacant { slots } => pool.holder.vacant(slots),
             Word::Digest(digest) if self.peers.contains_key(from) => {
                 let by = pool.heard.hear(now, from, digest, pool.setup.slots);
                 if !by.is_empty() {
@@ -199,9 +142,7 @@
         match ask {
             Ask::Uses { pool, uses } => {
                 let Some(pool) = self.pools.get_mut(&pool) else { return };
-                let wants = |uses: &[Use]| uses.iter().map(|u| (u.tenant, u.wants)).collect::<BTreeSet<_>>();
-                pool.news |= wants(&uses) != wants(&pool.uses);
-                pool.uses = uses;
+                pool.uses(now, uses);
             }
             Ask::Gave { pool: key, gave } => {
                 let Some(pool) = self.pools.get_mut(&key) else { return };
--- a/pure/fair/src/stock.rs
+++ b/pure/fair/src/stock.rs
@@ -87,6 +87,7 @@
         }
         self.idle.remove(&(until, slot));
         self.slots.get_mut(&slot)?.used = true;
+        let until = if planted(Fault::UsedPastItsLease) { Time::MAX } else { until };
         Some(Taken { slot, until })
     }
 
@@ -99,6 +100,9 @@
     }
 
     fn give(&mut self, slot: u16) -> Option<Gave> {
+        if planted(Fault::SlotReturnedTwice) {
+            return self.slots.get(&slot).map(|own| Gave { slot, turn: own.turn });
+        }
         let own = self.slots.remove(&slot)?;
         self.idle.remove(&(own.until, slot));
         self.given.insert(slot, own.turn);
--- a/pure/fair/src/tenants.rs
+++ b/pure/fair/src/tenants.rs
@@ -2,7 +2,6 @@
 //! others fold into a fixed number of buckets, which together weigh what one number says: memory is bounded for any number
 //! of names, and whoever invents names takes from the unnamed alone.
 
-use crate::planted::{planted, Fault};
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -75,6 +74,11 @@
         self.named.get(name).copied().unwrap_or_else(|| self.bucket(key(name)))
     }
 
+    /// By which virtual time the unnamed go together: one of no weight is served where nothing else waits.
+    pub fn group_class(&self) -> usize {
+        (self.unnamed.0 == 0) as usize
+    }
+
     fn bucket(&self, key: u64) -> u32 {
         (key % self.buckets as u64) as u32
     }
@@ -99,14 +103,6 @@
     }
 }
 
-/// What one bucket weighs while `active` of them are in use: together they weigh what the operator said.
-pub fn weight_of_bucket(unnamed: Weight, active: u64) -> Weight {
-    match planted(Fault::NoBoundOnCredit) || unnamed.0 == 0 {
-        true => unnamed,
-        false => Weight((unnamed.0 / active.max(1)).max(1)),
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
