Start the fleet with the proxy: members on real links, told in the log, off unless named

A process whose name is a peer of the operator's file starts its links and the part for members; who joins, starts again, leaves or does not answer is in the log, and a copy for other threads. At SIGTERM it tells the others at once and goes on until what it has taken is answered. A key file that can't be read, a covered class that the settings do not have: one line, and no start.

--- a/deploy/foldmux.star
+++ b/deploy/foldmux.star
@@ -73,3 +73,15 @@
 # limits(attempts = 3)
 # limits("mix-video", budget = "video", places = 16, queue = 16, queue_age_ms = 150)
 # route("far", of = "mix-video", zone = "rovaniemi", attempt_ms = 1500)
+
+# What the processes of a fleet share, off: here is how it is set up. A process takes part whose name (GW_NAME) is a peer's. The
+# key file holds 64 hexadecimal digits, the same at all. Sites are zones of the settings.
+# fleet(listen = "127.0.0.1:7300", key_file = "/run/foldmux/fleet.key", lease_ms = 500, drift_percent = 1.0)
+# peer("n0", address = "127.0.0.1:7300", site = "helsinki")
+# peer("n1", address = "127.0.0.1:7301", site = "helsinki")
+# peer("n2", address = "127.0.0.1:7302", site = "oulu")
+# [seat(name) for name in ["n0", "n1", "n2"]]
+# cover("mix-record", uncovered = "run", unclaimed = "finish", keep_ms = 2000)
+# stream("journal", slow = "all")
+# pool("archive", slots = 64, by = "tenant")
+# weight("studio", 3.0)
--- /dev/null
+++ b/proxy/src/fleet.rs
@@ -0,0 +1,173 @@
+//! What this process shares with others, in service: its links, and who of the fleet is up. Off unless the operator's
+//! file calls `fleet(…)` and this process is one of its peers.
+
+use foldmux_fleet::members::{self, Roll};
+use foldmux_fleet::{Builder, Fault, Port, Setup, Sink};
+use foldmux_members::{Ask, Pace, Seen, Told, Who};
+use foldmux_operator::Fleet as Said;
+use foldmux_peers::Bounds;
+use foldmux_seats::{Acts, Do, Part, Peer, Time};
+use foldmux_settings::Decoded;
+use std::path::Path;
+use std::time::{Duration, SystemTime};
+
+/// Longest that what is still to be said may take at the end.
+const LAST_WORDS: Duration = Duration::from_millis(100);
+/// The byte of the part that only looks on: no frame has it.
+const WATCH: u8 = 255;
+
+/// A fleet that was checked and may start.
+pub struct Fleet {
+    setup: Setup,
+    members: foldmux_members::Setup,
+}
+
+/// The fleet in service.
+pub struct Running {
+    fleet: foldmux_fleet::Fleet,
+    members: Port<Ask>,
+    /// Who of the fleet was seen, for any thread.
+    pub roll: Roll,
+}
+
+impl Fleet {
+    /// None where this process is no peer of it; an error is one plain line.
+    pub fn new(said: &Said, name: &str, decoded: &Decoded, seed: u64) -> Result<Option<Fleet>, String> {
+        let Some(own) = said.peer(name) else {
+            tracing::warn!("fleet: {name:?} is no peer of it; it is off here");
+            return Ok(None);
+        };
+        if let Some(fault) = said.unknown(&decoded.classes).next() {
+            return Err(fault);
+        }
+        for peer in &said.peers {
+            let site = peer.site.split('/').next().unwrap_or_default();
+            if !decoded.zones.iter().any(|zone| zone == site) {
+                tracing::warn!("fleet: the site {site} of {} is no zone of the settings", peer.name);
+            }
+        }
+        let setup = Setup {
+            name: Peer::new(name),
+            listen: said.listen,
+            peers: said.peers.iter().map(|peer| (Peer::new(&peer.name), peer.address)).collect(),
+            key: key(Path::new(&said.key_file)).map_err(|why| format!("fleet: key_file {why}"))?,
+            seed,
+            queue: said.queue as usize,
+            bounds: bounds(said.round_trip_ms, said.peers.len()),
+        };
+        let born = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+        let me = Who::new(Peer::new(name), &own.site, own.address, born.as_micros() as u64);
+        let pace = Pace { rtt: said.round_trip_ms * 1_000, size: said.peers.len() as u32 };
+        // Names of the list alone: no other is linked.
+        let members = foldmux_members::Setup { me, pace, most: said.peers.len(), seed };
+        Ok(Some(Fleet { setup, members }))
+    }
+
+    pub fn start(self) -> Result<Running, String> {
+        let Fleet { setup, members } = self;
+        let (listen, count) = (setup.listen, setup.peers.len());
+        let all = setup.peers.iter().map(|(peer, _)| peer.clone()).collect();
+        let site = members.me.site.clone();
+        let mut builder = Builder::new(setup);
+        let added = members::add(&mut builder, members, Log);
+        let (members, roll) = added.map_err(|e| format!("fleet: {e}"))?;
+        builder.add(WATCH, Watch, Log);
+        let fleet = builder.start(Log).map_err(|e| format!("fleet: listening on {listen}: {e}"))?;
+        match fleet.links().address() {
+            Some(on) => tracing::info!("fleet: one of {count}, at site {site}, on {on}"),
+            None => tracing::warn!("fleet: {listen} is in use; one of {count}, that dials until it is free"),
+        }
+        // The queue is empty, and has room for one.
+        let _ = members.ask(Ask::Join(all));
+        Ok(Running { fleet, members, roll })
+    }
+}
+
+impl Running {
+    /// The others are told that this process leaves; it goes on until [`Running::end`].
+    pub fn leave(&self) {
+        let asked = self.members.ask(Ask::Leave);
+        asked.err().iter().for_each(|e| tracing::warn!("fleet: leaving without a word: {e:?}"));
+    }
+
+    pub fn end(self) {
+        let counts = self.fleet.links().counts();
+        let (links, broken, strangers) = (counts.links.get(), counts.broken.get(), counts.strangers.get());
+        let (dropped, unlinked) = (counts.dropped.get(), counts.unlinked.get());
+        tracing::info!("fleet: {links} links, {broken} broken, {strangers} strangers, {dropped} frames dropped, {unlinked} without a link");
+        self.fleet.end(LAST_WORDS);
+    }
+}
+
+/// A key is 64 hexadecimal digits.
+fn key(file: &Path) -> Result<[u8; 32], String> {
+    let name = file.display();
+    let text = std::fs::read_to_string(file).map_err(|e| format!("{name}: {e}"))?;
+    let text = text.trim().as_bytes();
+    let digit = |b: u8| char::from(b).to_digit(16).map(|digit| digit as u8);
+    let pair = |pair: &[u8]| Some(digit(pair[0])? << 4 | digit(pair[1])?);
+    let bytes: Option<Vec<u8>> = text.chunks_exact(2).map(pair).collect();
+    let key = bytes.filter(|_| text.len() == 64).and_then(|bytes| bytes.try_into().ok());
+    key.ok_or_else(|| format!("{name}: 64 hexadecimal digits are wanted"))
+}
+
+/// The links' bounds follow from a round trip: a link is silent when ten beats would have come, each at five
+/// round trips, and at the least what a busy machine may keep a thread waiting.
+fn bounds(round_trip_ms: u64, peers: usize) -> Bounds {
+    let beat = Duration::from_millis((5 * round_trip_ms).max(100));
+    let (idle, hello) = (beat * 10, beat * 10);
+    let first = Duration::from_millis(round_trip_ms.max(10));
+    // Each peer may dial while its link before stands, beside an older process of its name.
+    let accepted = 4 * peers + 16;
+    Bounds { beat, idle, hello, accepted, dial: beat * 5, again: (first, first * 25), ..Bounds::default() }
+}
+
+/// Looks on, and tells which peers count as up for the parts.
+struct Watch;
+
+impl Part for Watch {
+    type Message = ();
+    type Ask = ();
+    type Told = (Peer, bool);
+
+    fn heard(&mut self, _: Time, _: &Peer, (): (), _: &mut Acts<Watch>) {}
+
+    fn ask(&mut self, _: Time, (): (), _: &mut Acts<Watch>) {}
+
+    fn peer(&mut self, _: Time, peer: &Peer, alive: bool, out: &mut Acts<Watch>) {
+        out.push(Do::Tell((peer.clone(), alive)));
+    }
+
+    fn tick(&mut self, _: Time, _: &mut Acts<Watch>) {}
+
+    fn due(&self) -> Option<Time> {
+        None
+    }
+}
+
+struct Log;
+
+impl Sink<(Peer, bool)> for Log {
+    fn told(&self, (peer, alive): (Peer, bool)) {
+        tracing::info!("fleet: {peer} is {}", if alive { "up" } else { "down" });
+    }
+}
+
+impl Sink<Told> for Log {
+    fn told(&self, told: Told) {
+        let of = |seen: &Seen| format!("{} at {}, site {}", seen.peer, seen.address, seen.site);
+        match told {
+            Told::Up(seen) => tracing::info!("members: {} joined", of(&seen)),
+            Told::Restarted(seen) => tracing::info!("members: {} started again", of(&seen)),
+            Told::Down(peer) => tracing::info!("members: {peer} does not answer"),
+            Told::Left(peer) => tracing::info!("members: {peer} left"),
+            Told::Rival(seen) => tracing::warn!("members: another process speaks as {}", of(&seen)),
+        }
+    }
+}
+
+impl Sink<Fault> for Log {
+    fn told(&self, Fault { part, why }: Fault) {
+        tracing::error!("fleet: part {part} is out of service: {why}");
+    }
+}
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -1,14 +1,18 @@
 //! The program: it puts the core, the fronts and the upstream together.
 //!
 //! Owns: the configuration ([`config`]), the journal service's client ([`journal`]) and how it waits ([`backoff`]),
-//! the tree in service ([`wiring`]), the log ([`log`]), start, reload and end ([`server`]). May not: decide for a
+//! the tree in service ([`wiring`]), the log ([`log`]), start and end ([`server`]),
+//! reload ([`reload`]), the fleet in service ([`fleet`]), what `check-config` tells ([`check`]). May not: decide for a
 //! request, or read one.
 
 pub mod backoff;
+pub mod check;
 pub mod config;
+pub mod fleet;
 pub mod journal;
 pub mod limits;
 pub mod line;
 pub mod log;
+pub mod reload;
 pub mod server;
 pub mod wiring;
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -1,24 +1,24 @@
 //! Puts the parts together and runs them: the desk, the core, the journal, the fronts, and the end.
 
 use crate::backoff::Backoff;
-use crate::config::{self, Config};
+use crate::config::Config;
+use crate::fleet;
 use crate::journal::{Journal, Names, Service};
 use crate::limits;
 use crate::line::{self, Hand, Sources};
+use crate::reload::{processed, rekey, relimit, reload, rewire, routed, rules, served, tell};
 use crate::wiring::{Live, Zones};
-use foldmux::interface::{Class, Repeat, Time};
+use foldmux::interface::{Repeat, Time};
 use foldmux::Router;
 use foldmux_core::buffers::Buffers;
 use foldmux_core::clock::{span, Clock};
-use foldmux_core::desk::Notice;
 use foldmux_core::limits::Limiter;
 use foldmux_core::members::Members;
 use foldmux_core::{Core, Desk};
-use foldmux_extproc::life::Class as Processed;
-use foldmux_extproc::serve::{Bound as Processor, Serving};
-use foldmux_fronts::dns::{server::Bound, Routed};
+use foldmux_extproc::serve::Bound as Processor;
+use foldmux_fronts::dns::server::Bound;
 use foldmux_fronts::listen::{accept_until, named, shared, READER_STACK};
-use foldmux_fronts::msgpack::{Front, Taken};
+use foldmux_fronts::msgpack::Front;
 use foldmux_fronts::places::Places;
 use foldmux_operations::retune::Classes;
 use foldmux_operator::Operator;
@@ -27,7 +27,7 @@
 use signal_hook::iterator::Signals;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, OnceLock, PoisonError, RwLock};
+use std::sync::{Arc, OnceLock, RwLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -58,6 +58,9 @@
     let mut tune = Classes::new(rules(&decoded)).map_err(|refused| format!("configuration: {refused}"))?;
     let dns = operator.dns.map(Bound::new).transpose()?;
     let processor = operator.ext_proc.map(|setup| Processor::new(setup, processed(&tune))).transpose()?;
+    let own_fleet = operator.fleet.as_ref();
+    let own_fleet = own_fleet.map(|setup| fleet::Fleet::new(setup, &config.name, &decoded, config.seed));
+    let own_fleet = own_fleet.transpose()?.flatten();
     let zones = Zones {
         names: decoded.zones.clone(),
         own: decoded.settings.zone,
@@ -157,6 +160,7 @@
         accept_until(&listener, &places, READER_STACK, Arc::new(serve), &close);
         tracing::info!("no more connections are taken");
     })?;
+    let own_fleet = own_fleet.map(fleet::Fleet::start).transpose()?;
     tracing::info!("{} serves on {on}", config.name);
     let sources = Arc::new(Sources {
         core: core.clone(),
@@ -199,6 +203,7 @@
             tell("token keys", rekey(own_file, serving).map(counted).map_err(counted));
         }
     }
+    own_fleet.iter().for_each(fleet::Running::leave);
     if let Some(mut serving) = processor.take() {
         let ended = serving.leave(LONGEST);
         tracing::info!("external processor: {}; all streams ended: {ended}", serving.line());
@@ -207,105 +212,10 @@
     let kill = span(longest).min(KILL_AFTER_MOST) + KILL_GRACE - KILL_MARGIN;
     let _ = leave_by.set(Instant::now() + kill);
     leave(&core, &closing, &connections);
+    own_fleet.map(fleet::Running::end);
     Ok(())
 }
 
-/// What a part of a reload came to. One that was refused is a warning: staff who filter at that level must see it.
-fn tell(part: &str, came: Result<String, String>) {
-    match came {
-        Ok(taken) => tracing::info!("{part}: {taken}"),
-        Err(why) => tracing::warn!("{part}: {why}; all stays as it was"),
-    }
-}
-
-/// Reads the configuration again: takes its settings and classes, and goes by where it says that the journal
-/// service is; its listen address, limits and seed hold from the next start. Guards against a file that can't be
-/// used costing the settings in service or the service that there is. One that names no journal service is taken as at
-/// the start: the list stays as it is.
-fn reload(
-    file: &Path,
-    service: &Service,
-    tune: &mut Classes<Class>,
-    front: &Front,
-) -> Result<String, String> {
-    let config = config::read(file)?;
-    let mut settings = config.decoded.settings.clone();
-    tune.take(rules(&config.decoded)).map_err(|refused| format!("configuration: {refused}"))?;
-    settings.classes = tune.all().cloned().collect();
-    // The module knows the new places before any client can name them.
-    front.core.desk.tell(Notice::Retuned(Box::new(settings)));
-    let taken = served(tune);
-    taken.iter().for_each(|class| front.core.tally.know(&class.name));
-    *front.classes.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(taken);
-    service.move_to(config.journal);
-    let names: Vec<&str> = tune.named().map(|(name, ..)| name).collect();
-    let at = config.journal.map_or("no journal service: the list stays as it is".to_string(), |address| {
-        format!("the journal service is at {address}")
-    });
-    Ok(format!("classes {}; {at}", names.join(", ")))
-}
-
-fn rules(decoded: &foldmux_settings::Decoded) -> Vec<(String, Class)> {
-    decoded.classes.iter().cloned().zip(decoded.settings.classes.iter().cloned()).collect()
-}
-
-/// The classes that the front takes by name, each at its place.
-fn served(tune: &Classes<Class>) -> Vec<Taken> {
-    let one = |(name, place, class): (&str, &Arc<usize>, &Class)| {
-        let keyed = matches!(class.repeat, Repeat::Keyed(_));
-        Taken { name: name.into(), place: place.clone(), keyed, longest: class.deadline }
-    };
-    tune.named().map(one).collect()
-}
-
-/// The classes as the DNS front routes them by name.
-fn routed(tune: &Classes<Class>) -> Vec<Routed> {
-    let one = |(name, place, class): (&str, &Arc<usize>, &Class)| Routed {
-        name: name.into(),
-        place: place.clone(),
-        writes: class.pass_on,
-    };
-    tune.named().map(one).collect()
-}
-
-/// Reads the operator's file again and takes its tree. Whatever else it says holds from the next start.
-fn rewire(file: &Path, live: &mut Live) -> Result<String, String> {
-    let operator = foldmux_operator::load(file).map_err(|faults| faults.join("; "))?;
-    let hierarchy = operator.hierarchy.ok_or_else(|| format!("{}: no hierarchy", file.display()))?;
-    live.take(&hierarchy)
-}
-
-/// Reads the operator's file again and takes its limits, all at once; those who are open keep theirs.
-fn relimit(file: &Path, account: &foldmux_limits::Account, limiter: &Limiter) -> Result<String, String> {
-    let operator = foldmux_operator::load(file).map_err(|faults| faults.join("; "))?;
-    let draft = operator.limits.unwrap_or_default();
-    let table = limits::table(account, &draft).map_err(|faults| faults.join("; "))?;
-    let count = table.all().filter(|resolved| !resolved.at.is_empty()).count();
-    limiter.swap(table);
-    Ok(format!("{count} sets of limits taken"))
-}
-
-/// Reads the operator's file again and takes its keys for tokens.
-fn rekey(file: &Path, serving: &Serving) -> Result<String, String> {
-    let operator = foldmux_operator::load(file).map_err(|faults| faults.join("; "))?;
-    let own = operator.ext_proc.ok_or_else(|| format!("{}: no ext_proc", file.display()))?;
-    let keys: Vec<(u8, &[u8])> = own.keys.iter().map(|key| (key.number, key.secret.as_bytes())).collect();
-    serving.front.keeper.change(&keys);
-    Ok(keys.last().map_or("none".to_string(), |(number, _)| format!("{number} signs")))
-}
-
-/// The classes, as the external processor serves them.
-fn processed(tune: &Classes<Class>) -> Vec<Processed> {
-    let class = |(name, place, class): (&str, &Arc<usize>, &Class)| Processed {
-        name: name.into(),
-        place: place.clone(),
-        repeat: class.repeat,
-        window: class.repeat_window,
-        longest: class.deadline,
-    };
-    tune.named().map(class).collect()
-}
-
 /// Serves on for a while, answers what was taken, and returns.
 /// From when `leave_by` is set, the fronts say that the process is not well.
 fn leave(core: &Core, closing: &AtomicBool, connections: &Places) {
--- /dev/null
+++ b/shared/fleet/src/members.rs
@@ -0,0 +1,71 @@
+//! The part for members on the fleet's thread: what it tells goes to the views, to a copy for others, and on.
+
+use crate::port::{Port, Sink};
+use crate::setup::Builder;
+use crate::views::Views;
+use foldmux_members::{Ask, BadMembers, Members, Seen, Setup, State, Told};
+use foldmux_seats::Peer;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// The byte of members' frames.
+pub const PART: u8 = 0;
+
+/// What members last told of each peer: a copy that any thread may read. Bounded by what members keep.
+#[derive(Clone, Default)]
+pub struct Roll(Arc<Mutex<BTreeMap<Peer, Seen>>>);
+
+impl Roll {
+    pub fn seen(&self) -> Vec<Seen> {
+        self.lock().values().cloned().collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<Peer, Seen>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn take(&self, told: &Told, views: &Views) {
+        match told {
+            Told::Up(seen) | Told::Restarted(seen) => {
+                views.say(&seen.peer, true);
+                self.lock().insert(seen.peer.clone(), seen.clone());
+            }
+            Told::Down(peer) => self.end(peer, State::Down, views),
+            Told::Left(peer) => self.end(peer, State::Left, views),
+            Told::Rival(_) => {}
+        }
+    }
+
+    fn end(&self, peer: &Peer, state: State, views: &Views) {
+        views.say(peer, false);
+        self.lock().entry(peer.clone()).and_modify(|seen| seen.state = state);
+    }
+}
+
+struct Tap<S> {
+    roll: Roll,
+    views: Views,
+    news: S,
+}
+
+impl<S: Sink<Told>> Sink<Told> for Tap<S> {
+    fn told(&self, told: Told) {
+        self.roll.take(&told, &self.views);
+        self.news.told(told);
+    }
+
+    fn gone(&self) {
+        self.news.gone();
+    }
+}
+
+/// Adds members; they join once they are asked to.
+pub fn add(
+    builder: &mut Builder,
+    setup: Setup,
+    news: impl Sink<Told> + 'static,
+) -> Result<(Port<Ask>, Roll), BadMembers> {
+    let roll = Roll::default();
+    let tap = Tap { roll: roll.clone(), views: builder.views(), news };
+    Ok((builder.add(PART, Members::new(setup)?, tap), roll))
+}
