--- a/proxy/src/fleet.rs
+++ b/proxy/src/fleet.rs
@@ -94,7 +94,8 @@
         let counts = self.fleet.links().counts();
         let (links, broken, strangers) = (counts.links.get(), counts.broken.get(), counts.strangers.get());
         let (dropped, unlinked) = (counts.dropped.get(), counts.unlinked.get());
-        tracing::info!("fleet: {links} links, {broken} broken, {strangers} strangers, {dropped} frames dropped, {unlinked} without a link");
+        tracing::info!("fleet: {links} links, {broken} broken, {strangers} strangers");
+        tracing::info!("fleet: {dropped} frames without room, {unlinked} without a link");
         self.fleet.end(LAST_WORDS);
     }
 }
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -212,7 +212,7 @@
     let kill = span(longest).min(KILL_AFTER_MOST) + KILL_GRACE - KILL_MARGIN;
     let _ = leave_by.set(Instant::now() + kill);
     leave(&core, &closing, &connections);
-    own_fleet.map(fleet::Running::end);
+    own_fleet.into_iter().for_each(fleet::Running::end);
     Ok(())
 }
 
