--- a/pure/seats/src/lease.rs
+++ b/pure/seats/src/lease.rs
@@ -49,6 +49,10 @@
     /// A span that is over, by any clock within the drift, before `span` is by any other:
     /// `span * (1 - 2d)`, for (1 - 2d) / (1 - d) <= 1 / (1 + d); one less, as clocks tell whole microseconds.
     pub fn shortened(self, span: Time) -> Time {
+        #[cfg(feature = "planted")]
+        if crate::planted::on(crate::planted::Fault::EqualLength) {
+            return span;
+        }
         let less = (u128::from(span) * 2 * u128::from(self.ppm)).div_ceil(MILLION) as Time;
         span.saturating_sub(less).saturating_sub(1)
     }
--- a/pure/seats/src/lib.rs
+++ b/pure/seats/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod memory;
 pub mod order;
 pub mod part;
+#[cfg(feature = "planted")]
+pub mod planted;
 pub mod seats;
 pub mod votes;
 
--- a/pure/seats/src/memory.rs
+++ b/pure/seats/src/memory.rs
@@ -33,6 +33,10 @@
 
     /// Whether it may grant and vote. Being told, and keeping what it is told, it may from the start.
     pub fn speaks(&self, now: Time) -> bool {
+        #[cfg(feature = "planted")]
+        if crate::planted::on(crate::planted::Fault::FreshVotes) {
+            return true;
+        }
         now >= self.from
     }
 
--- a/pure/seats/src/votes.rs
+++ b/pure/seats/src/votes.rs
@@ -28,11 +28,18 @@
 struct Three {
     seats: [Peer; SEATS],
     said: [Option<bool>; SEATS],
+    #[cfg(feature = "planted")]
+    gone: [bool; SEATS],
 }
 
 impl Three {
     fn new(seats: [&Peer; SEATS]) -> Three {
-        Three { seats: seats.map(Peer::clone), said: [None; SEATS] }
+        Three {
+            seats: seats.map(Peer::clone),
+            said: [None; SEATS],
+            #[cfg(feature = "planted")]
+            gone: [false; SEATS],
+        }
     }
 
     fn say(&mut self, from: &Peer, granted: bool) -> bool {
@@ -45,6 +52,11 @@
         }
     }
 
+    #[cfg(feature = "planted")]
+    fn gone(&self) -> usize {
+        (0..SEATS).filter(|i| self.gone[*i] && self.said[*i].is_none()).count()
+    }
+
     fn count(&self, granted: bool) -> usize {
         self.said.iter().filter(|said| **said == Some(granted)).count()
     }
@@ -81,6 +93,10 @@
 
     /// A majority of each three has granted.
     pub fn won(&self) -> bool {
+        #[cfg(feature = "planted")]
+        if crate::planted::on(crate::planted::Fault::MajorityOfTheLiving) {
+            return self.threes().all(|three| three.count(true) * 2 > SEATS - three.gone());
+        }
         self.threes().all(|three| three.count(true) >= MAJORITY)
     }
 
@@ -89,6 +105,14 @@
         self.threes().any(|three| three.count(false) > SEATS - MAJORITY)
     }
 
+    /// A seat that seems dead: of no weight but for a planted fault.
+    #[cfg(feature = "planted")]
+    pub fn gone(&mut self, peer: &Peer) {
+        for three in std::iter::once(&mut self.now).chain(&mut self.before) {
+            (0..SEATS).filter(|i| three.seats[*i] == *peer).for_each(|i| three.gone[i] = true);
+        }
+    }
+
     /// Those who have granted, each once.
     pub fn granted(&self) -> impl Iterator<Item = &Peer> {
         let said = |three: &Three, i: usize| three.said[i] == Some(true);
