--- a/pure/members/src/lib.rs
+++ b/pure/members/src/lib.rs
@@ -11,6 +11,8 @@
 mod door;
 mod members;
 mod pace;
+#[cfg(feature = "planted")]
+pub mod planted;
 mod timers;
 mod told;
 mod who;
--- a/pure/members/src/members.rs
+++ b/pure/members/src/members.rs
@@ -117,6 +117,10 @@
     /// Whether a suspicion came to nothing. foca 2.0 sends the suspected its death notice also when it has refuted,
     /// and so makes it come back under another identity for each: it does not get to see such a timer.
     fn refuted(&self, timer: &Timer<Who>) -> bool {
+        #[cfg(feature = "planted")]
+        if crate::planted::on(crate::planted::Fault::RefutedInVain) {
+            return false;
+        }
         let Timer::ChangeSuspectToDown { member_id, incarnation, .. } = timer else { return false };
         let suspected = Member::new(member_id.clone(), *incarnation, foca::State::Suspect);
         self.others().all(|member| *member != suspected)
@@ -145,6 +149,11 @@
         // Each that is known is told by this process itself; who misses it hears it from the others.
         let mut config = self.pace.config();
         config.num_indirect_probes = NonZeroUsize::new(self.foca.num_members()).unwrap_or(NonZeroUsize::MIN);
+        #[cfg(feature = "planted")]
+        if crate::planted::on(crate::planted::Fault::LeavesUntold) {
+            self.foca = swim(self.me().leaving(), self.pace, &mut self.rng);
+            return;
+        }
         let leaving = self.me().leaving();
         Members::noted(&mut self.counts, self.foca.set_config(config));
         Members::noted(&mut self.counts, self.foca.change_identity(leaving, &mut self.runtime));
--- a/pure/members/src/who.rs
+++ b/pure/members/src/who.rs
@@ -72,6 +72,10 @@
     }
 
     fn win_addr_conflict(&self, other: &Who) -> bool {
+        #[cfg(feature = "planted")]
+        if crate::planted::on(crate::planted::Fault::AnyLifeHolds) {
+            return false;
+        }
         self.rank() > other.rank()
     }
 }
