--- a/src/interface/events.rs
+++ b/src/interface/events.rs
@@ -41,6 +41,12 @@
     pub fn never_ran(self) -> bool {
         matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::NeverSent | Outcome::Miss)
     }
+
+    /// The server said something, if only that its process ended: it is not hung.
+    pub fn is_word(self) -> bool {
+        use Outcome::*;
+        !matches!(self, TimedOut | ConnectFailed | NeverSent | Cancelled)
+    }
 }
 
 /// What an answer told, where notes are given.
--- a/src/router.rs
+++ b/src/router.rs
@@ -48,6 +48,8 @@
     filling: u32,
     fail: f64,
     shun_until: Time,
+    /// When the first of what was sent to it since its last word should have been answered.
+    due: Option<Time>,
     /// Smoothed fill latency beyond the sending time (us).
     latency: Heard,
     /// Transfers that it carries at full pace, as far as this front can tell.
@@ -60,10 +62,6 @@
     fn ready(&self) -> bool {
         self.member.state == State::Ready
     }
-
-    fn heard_latency(&self, now: Time) -> Option<f64> {
-        self.latency.get(now, HEARD)
-    }
 }
 
 #[derive(Default)]
--- a/src/router/health.rs
+++ b/src/router/health.rs
@@ -23,11 +23,11 @@
 }
 
 impl Router {
-    /// Fit for ordinary traffic: not shunned, or shunned long enough for one trial.
+    /// Fit for ordinary traffic: not shunned (or enough for one trial), nor silent when an answer is due.
     pub(super) fn healthy(&self, now: Time, server: &Server) -> bool {
         let limit = FAIL_LIMIT + self.like[self.settings.tier(&server.member)];
         let trial = server.fail <= limit || server.out + server.filling == 0;
-        now >= server.shun_until && trial
+        now >= server.shun_until && trial && (server.out == 0 || server.due.is_none_or(|due| now <= due))
     }
 
     /// A cache that may be named as the source of what it holds.
--- a/src/router/learn.rs
+++ b/src/router/learn.rs
@@ -23,6 +23,7 @@
         if let Some(server) = self.servers.get_mut(&attempt.plan.cache) {
             let like = &mut self.like[own];
             server.out = server.out.saturating_sub(1);
+            server.due = server.due.filter(|_| !outcome.is_word());
             match outcome {
                 Outcome::Served => {
                     server.note(now, false, false, like);
@@ -86,7 +87,7 @@
             // Where nothing is told, a refusal may be the cache's own: then it falls to all sources alike.
             let refused = asked && untold && outcome == Outcome::Full;
             if from_source || refused {
-                let latency = server.heard_latency(now).unwrap_or(extra);
+                let latency = server.latency.get(now, HEARD).unwrap_or(extra);
                 server.latency.add(now, latency, if refused { REFUSED_AS } else { extra }, SMOOTH);
             }
             if from_source && above == 2 {
--- a/src/router/send.rs
+++ b/src/router/send.rs
@@ -98,6 +98,8 @@
             if let Some(server) = self.servers.get_mut(&cache) {
                 server.window.add(now, weight, now.saturating_sub(self.settings.fall_window), SENT_MAX);
                 *(if n == 0 { &mut server.out } else { &mut server.filling }) += 1;
+                let due = request.aim_at.max(now + request.work as Time);
+                server.due = server.due.or((n == 0).then_some(due));
             }
             if lease > 0 {
                 self.leases.entry(cache).or_default().add(now + lease, weight, now + 1, SENT_MAX);
--- a/src/router/source.rs
+++ b/src/router/source.rs
@@ -55,10 +55,10 @@
         parents.sort_by_key(|&c| (rank(request.key, c.0 as u64), c));
         // Guards against one slow spell leaving a parent out for good: one not heard of lately is average.
         let average = self.parent_latency(now);
-        let latency = |c: &CacheId| self.servers[c].heard_latency(now).unwrap_or(average);
+        let latency = |c: &CacheId| self.servers[c].latency.get(now, HEARD).unwrap_or(average);
         let drawn = parents.iter().take(2).min_by(|a, b| latency(a).total_cmp(&latency(b)));
         // Guards against a parent that refuses, or is crowded, being asked for all as it is the one left.
-        let quick = |c: &&CacheId| self.servers[c].heard_latency(now).is_none_or(|l| l < SLOW.0);
+        let quick = |c: &&CacheId| self.servers[c].latency.get(now, HEARD).is_none_or(|l| l < SLOW.0);
         let origin = || self.tiers[3].iter().filter(room).find(quick);
         let above = drawn.filter(quick).or_else(origin).or(drawn);
         above.or_else(|| self.tiers[3].iter().chain(&self.tiers[2]).find(room)).copied()
@@ -66,12 +66,12 @@
 
     pub(super) fn parent_latency(&self, now: Time) -> f64 {
         let above = self.tiers[2].iter().chain(&self.tiers[3]);
-        mean(above.filter_map(|c| self.servers[c].heard_latency(now))).unwrap_or(LATENCY_START)
+        mean(above.filter_map(|c| self.servers[c].latency.get(now, HEARD))).unwrap_or(LATENCY_START)
     }
 
     /// The origin, for what the parents' way turns away: where they lose fills and it is not known to lag.
     pub(super) fn round_parents(&self, now: Time, request: &Request) -> Option<CacheId> {
-        let quick = |s: &Server| s.heard_latency(now).is_none_or(|l| l < SLOW.1);
+        let quick = |s: &Server| s.latency.get(now, HEARD).is_none_or(|l| l < SLOW.1);
         let well = |c: &&CacheId| self.servers[c].ready() && quick(&self.servers[c]);
         let fit = |c: &&CacheId| !request.tried.contains(c) && well(c);
         self.tiers[3].iter().find(fit).filter(|_| self.lost > LOST).copied()
