--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -121,6 +121,17 @@
 }
 
 impl Settings {
+    /// The least and the longest aim of the classes that are kept (us).
+    pub fn aims(&self) -> [f64; 2] {
+        let kept = || self.classes.iter().filter(|c| !c.pass_on).map(|c| c.aim as f64);
+        [kept().fold(1e9, f64::min), kept().fold(0.0, f64::max)]
+    }
+
+    /// How long a cache or parent that started is cold at most.
+    pub fn longest_cold(&self) -> Time {
+        self.cache_cold_for.max(self.parent_cold_for)
+    }
+
     /// Own caches, siblings, parents, the origin: 0 to 3.
     pub fn tier(&self, member: &Member) -> usize {
         match member.kind {
--- a/src/router.rs
+++ b/src/router.rs
@@ -28,12 +28,12 @@
 const SMOOTH: f64 = 0.1;
 /// A latency that was not heard again for so long (us) says nothing any more.
 const HEARD: Time = 2_000_000;
-/// Latency of a fill while nothing has been heard (us).
-const LATENCY_START: f64 = 60_000.0;
+/// Part of the least aim that a fill takes while nothing has been heard, and that shows a cache's pace.
+const START: f64 = 0.2;
 /// Sending stretches by this much in the ordinary case.
 const STRETCH: f64 = 1.25;
-/// Time over which work is averaged (us): longer than a restarted location takes to warm.
-const RATE_OVER: f64 = 20_000_000.0;
+/// Least time over which work is averaged (us); else as long as what restarts takes to warm.
+const OVER_LEAST: Time = 1_000_000;
 /// Further attempts earned by each request, and the most saved up: retries can't double a load.
 const RETRY: (f64, f64) = (0.25, 30.0);
 /// The part of a table's key that is the object; its part stands above.
@@ -60,10 +60,6 @@
     fn ready(&self) -> bool {
         self.member.state == State::Ready
     }
-
-    fn heard_latency(&self, now: Time) -> Option<f64> {
-        self.latency.get(now, HEARD)
-    }
 }
 
 #[derive(Default)]
@@ -162,7 +158,9 @@
 
 impl Router {
     pub fn new(settings: Settings, seed: u64) -> Router {
+        let over = settings.longest_cold().max(OVER_LEAST) as f64;
         Router {
+            query_gain: START / 4.0 * settings.aims()[0],
             class_work: vec![0.0; settings.classes.len()],
             settings,
             random: Draws::new(seed),
@@ -175,10 +173,9 @@
             local: Table::default(),
             leases: BTreeMap::new(),
             purges: BTreeMap::new(),
-            asked: Rate::over(RATE_OVER),
-            served: [Rate::over(RATE_OVER); 2],
+            asked: Rate::over(over),
+            served: [Rate::over(over); 2],
             usual: [0.0; 2],
-            query_gain: LATENCY_START / 4.0,
             near: Limit { most: f64::MAX, out: 0.0 },
             deep: Limit { most: f64::MAX, out: 0.0 },
             unanswered: 0.0,
--- a/src/router/cold.rs
+++ b/src/router/cold.rs
@@ -37,6 +37,6 @@
 
     pub(super) fn cold(&self, now: Time, server: &Server) -> bool {
         let age = now.saturating_sub(server.member.boot);
-        server.member.boot != 0 && age < self.settings.cache_cold_for.max(self.settings.parent_cold_for)
+        server.member.boot != 0 && age < self.settings.longest_cold()
     }
 }
--- a/src/router/learn.rs
+++ b/src/router/learn.rs
@@ -2,10 +2,8 @@
 
 use super::*;
 
-/// A source that refuses counts as so slow (us).
-const REFUSED_AS: f64 = 2_000_000.0;
-/// One try's gain or loss counts for no more than this (us): one hung sibling must not close the gate.
-const QUERY_CLIP: f64 = 400_000.0;
+/// A source that refuses counts as so many longest aims slow: two refusals leave it for a quicker one.
+const REFUSED_AS: f64 = 5.0;
 /// An answer is late from this part of the wait that is still in time: crowding shows before it hurts.
 const LATE: f64 = 0.5;
 
@@ -13,6 +11,7 @@
     /// Health, latency, capacity, the query's record and the summary, all from one outcome.
     pub(super) fn learn(&mut self, now: Time, attempt: &Attempt, report: &Report) {
         let &Report { outcome, note, elapsed, .. } = report;
+        let [least, longest] = self.settings.aims();
         let extra = (elapsed as f64 - attempt.work).max(0.0);
         let untold = note == Note::Untold;
         let served = outcome == Outcome::Served;
@@ -29,7 +28,7 @@
                     self.served[0].add(now, attempt.weight);
                     let beside = (attempt.beside + server.out) as f64 / 2.0 + 1.0;
                     let stretch = elapsed as f64 / attempt.work.max(1.0);
-                    let slow = stretch > STRETCH && attempt.work > LATENCY_START;
+                    let slow = stretch > STRETCH && attempt.work > START * least;
                     let capacity = server.capacity.unwrap_or(beside);
                     let sample = if slow { beside / stretch } else { beside.max(capacity) };
                     if hit && (slow || sample > capacity) {
@@ -86,8 +85,8 @@
             // Where nothing is told, a refusal may be the cache's own: then it falls to all sources alike.
             let refused = asked && untold && outcome == Outcome::Full;
             if from_source || refused {
-                let latency = server.heard_latency(now).unwrap_or(extra);
-                server.latency.add(now, latency, if refused { REFUSED_AS } else { extra }, SMOOTH);
+                let latency = server.latency.get(now, HEARD).unwrap_or(extra);
+                server.latency.add(now, latency, if refused { REFUSED_AS * longest } else { extra }, SMOOTH);
             }
             if from_source && above == 2 {
                 self.served[1].add(now, attempt.weight);
@@ -98,7 +97,8 @@
         }
         if attempt.plan.query && (from_source || failed || matches!(outcome, Outcome::Full | Outcome::Miss)) {
             let gain = if from_source { self.parent_latency(now) - extra } else { -(elapsed as f64) };
-            self.query_gain += SMOOTH * (gain.clamp(-QUERY_CLIP, QUERY_CLIP) - self.query_gain);
+            // No try counts for more than the longest aim: one hung sibling must not close the gate.
+            self.query_gain += SMOOTH * (gain.clamp(-longest, longest) - self.query_gain);
         }
         let cache = attempt.plan.cache;
         if outcome == Outcome::Miss && self.local.get(attempt.key, now).is_some_and(|e| e.cache == cache) {
--- a/src/router/members.rs
+++ b/src/router/members.rs
@@ -7,12 +7,9 @@
 
 impl Router {
     pub(super) fn on_members(&mut self, full: bool, members: Vec<Member>) {
-        if full {
-            let named: Vec<CacheId> = members.iter().map(|m| m.cache).collect();
-            let missing = |c: &&CacheId| !named.contains(c);
-            let gone: Vec<CacheId> = self.servers.keys().filter(missing).copied().collect();
-            gone.into_iter().for_each(|cache| self.forget(cache));
-        }
+        let missing = |c: &CacheId| full && !members.iter().any(|m| m.cache == *c);
+        let gone: Vec<CacheId> = self.servers.keys().copied().filter(missing).collect();
+        gone.into_iter().for_each(|cache| self.forget(cache));
         for member in members {
             let cache = member.cache;
             let same = self.servers.get(&cache).is_some_and(|s| s.member.boot == member.boot);
--- a/src/router/retry.rs
+++ b/src/router/retry.rs
@@ -102,9 +102,9 @@
         for id in late {
             self.give_up(id, out);
         }
-        let ready = self.ready();
+        let (ready, over) = (self.ready(), self.settings.longest_cold().max(OVER_LEAST) as f64);
         for (usual, ready) in self.usual.iter_mut().zip(ready) {
-            *usual = ready.max(*usual + (ready - *usual) * TICK as f64 / RATE_OVER);
+            *usual = ready.max(*usual + (ready - *usual) * TICK as f64 / over);
         }
     }
 }
--- a/src/router/source.rs
+++ b/src/router/source.rs
@@ -2,8 +2,8 @@
 
 use super::*;
 
-/// The slowest parent before a quicker origin; the slowest origin for what the parents' way turns away (us).
-const SLOW: (f64, f64) = (400_000.0, 150_000.0);
+/// The slowest origin for what the parents' way turns away: so much of the least aim leaves room for it.
+const SLOW: f64 = 0.5;
 /// It takes that where parents lose more than this part: where they are late the links may be what is short.
 const LOST: f64 = 0.05;
 /// One in so many misses is queried though the gate is closed, so that it can open again.
@@ -21,16 +21,13 @@
             return self.may_repeat_at(now, request, source).then_some(direct);
         };
         let mut plan = Plan { cache, source: cache, ..Plan::default() };
-        if let Some(entry) = self.local.get(request.key, now) {
-            if entry.cache == cache {
-                plan.listed = true;
-            } else if self.settings.siblings != Siblings::None
-                && !request.tried.contains(&entry.cache)
-                && self.servers.get(&entry.cache).is_some_and(|s| self.gives(now, s))
-            {
-                // Placed elsewhere: the listed holder fills it, from what it holds.
-                return Some(Plan { source: entry.cache, hold_only: true, ..plan });
-            }
+        let listed = self.local.get(request.key, now).map(|entry| entry.cache);
+        plan.listed = listed == Some(cache);
+        let elsewhere = listed.filter(|c| !plan.listed && !request.tried.contains(c));
+        let gives = |c: &CacheId| self.servers.get(c).is_some_and(|s| self.gives(now, s));
+        if let Some(source) = elsewhere.filter(|_| self.settings.siblings != Siblings::None).filter(gives) {
+            // The listed holder fills it, from what it holds.
+            return Some(Plan { source, hold_only: true, ..plan });
         }
         let asked = if plan.listed || pass_on { None } else { self.sibling(now, request) };
         if let Some((source, time_out)) = asked.and_then(|s| Some((s, self.query_time(now, request, draw)?)))
@@ -55,10 +52,12 @@
         parents.sort_by_key(|&c| (rank(request.key, c.0 as u64), c));
         // Guards against one slow spell leaving a parent out for good: one not heard of lately is average.
         let average = self.parent_latency(now);
-        let latency = |c: &CacheId| self.servers[c].heard_latency(now).unwrap_or(average);
+        let latency = |c: &CacheId| self.servers[c].latency.get(now, HEARD).unwrap_or(average);
         let drawn = parents.iter().take(2).min_by(|a, b| latency(a).total_cmp(&latency(b)));
         // Guards against a parent that refuses, or is crowded, being asked for all as it is the one left.
-        let quick = |c: &&CacheId| self.servers[c].heard_latency(now).is_none_or(|l| l < SLOW.0);
+        // From the longest aim on, no class has its answer in time.
+        let [_, slow] = self.settings.aims();
+        let quick = |c: &&CacheId| self.servers[c].latency.get(now, HEARD).is_none_or(|l| l < slow);
         let origin = || self.tiers[3].iter().filter(room).find(quick);
         let above = drawn.filter(quick).or_else(origin).or(drawn);
         above.or_else(|| self.tiers[3].iter().chain(&self.tiers[2]).find(room)).copied()
@@ -66,12 +65,14 @@
 
     pub(super) fn parent_latency(&self, now: Time) -> f64 {
         let above = self.tiers[2].iter().chain(&self.tiers[3]);
-        mean(above.filter_map(|c| self.servers[c].heard_latency(now))).unwrap_or(LATENCY_START)
+        mean(above.filter_map(|c| self.servers[c].latency.get(now, HEARD)))
+            .unwrap_or_else(|| START * self.settings.aims()[0])
     }
 
     /// The origin, for what the parents' way turns away: where they lose fills and it is not known to lag.
     pub(super) fn round_parents(&self, now: Time, request: &Request) -> Option<CacheId> {
-        let quick = |s: &Server| s.heard_latency(now).is_none_or(|l| l < SLOW.1);
+        let slow = SLOW * self.settings.aims()[0];
+        let quick = |s: &Server| s.latency.get(now, HEARD).is_none_or(|l| l < slow);
         let well = |c: &&CacheId| self.servers[c].ready() && quick(&self.servers[c]);
         let fit = |c: &&CacheId| !request.tried.contains(c) && well(c);
         self.tiers[3].iter().find(fit).filter(|_| self.lost > LOST).copied()
