--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod script;
 pub mod values;
 
+pub use values::{Slow, Stream, StreamFirst};
 pub use values::{
     AskRule, Dns, Durable, ExtProc, Fleet, Hierarchy, LedgerFile, Operator, Relay, Tls, TokenKey,
 };
--- a/operator/src/script/fleet.rs
+++ b/operator/src/script/fleet.rs
@@ -3,7 +3,7 @@
 // Each argument of a function is a named setting of the file.
 #![allow(clippy::too_many_arguments)]
 
-use super::sets::{address, here, once, valid, whole, within, SETS};
+use super::sets::{address, addressed, here, once, valid, whole, within, SETS};
 use super::CALLS_MOST;
 use crate::values::{Cover, Fleet, Peer, Pool, PoolBy, Slow, Stream, StreamFirst, Unclaimed, Uncovered};
 use anyhow::{anyhow, bail};
@@ -12,7 +12,7 @@
 use starlark::eval::Evaluator;
 use starlark::starlark_module;
 use starlark::values::float::UnpackFloat;
-use starlark::values::none::NoneType;
+use starlark::values::none::{NoneOr, NoneType};
 
 /// What the calls have set, each with its place in the file.
 #[derive(Debug, Default)]
@@ -172,6 +172,7 @@
         #[starlark(require = named, default = 10_000i64)] window_ms: i64,
         #[starlark(require = named, default = 4_096i64)] items: i64,
         #[starlark(require = named, default = 1_024i64)] kb: i64,
+        #[starlark(require = named, default = NoneOr::None)] serve: NoneOr<&str>,
         eval: &mut Evaluator,
     ) -> anyhow::Result<NoneType> {
         let slows = [("all", Slow::All), ("latest", Slow::Latest), ("skip", Slow::Skip)];
@@ -185,6 +186,7 @@
             window_ms: whole("window_ms", window_ms)?,
             items: whole("items", items)?,
             kb: whole("kb", kb)?,
+            serve: addressed("serve", serve)?,
         })?;
         add(|parts| &mut parts.streams, |stream| &stream.name, ("stream", here(eval)), stream)
     }
--- a/operator/src/values/fleet.rs
+++ b/operator/src/values/fleet.rs
@@ -105,6 +105,8 @@
     pub items: u64,
     #[garde(range(min = 1, max = 1_048_576))]
     pub kb: u64,
+    /// Where this process serves it to readers of its site that are no peers, such as hubs.
+    pub serve: Option<SocketAddr>,
 }
 
 /// Whom a pool's slots are shared among.
--- a/proxy/src/journal.rs
+++ b/proxy/src/journal.rs
@@ -6,15 +6,21 @@
 use foldmux_core::clock::Clock;
 use foldmux_core::desk::{DeskHandle, Notice};
 use foldmux_core::members::{cache_id, Listed};
+use foldmux_feed::words::{Endpoint, Expire};
+use foldmux_feed::Desk;
 use foldmux_http1::{read_response, Broken};
 use foldmux_upstream::pool::Pool;
-use serde::Deserialize;
 use std::io::Write;
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+pub use foldmux_feed::words::{Entry, Feed};
+pub use service::Service;
+
+mod service;
+
 /// Asked for: short, so that a connection that went silent is noticed well within the 7 s after which all
 /// events count as told.
 const MAX_WAIT: Duration = Duration::from_millis(1_000);
@@ -23,58 +29,14 @@
 /// Longest answer: some thousand events.
 const ANSWER: usize = 1024 * 1024;
 
-#[derive(Clone, Debug, Default, Deserialize)]
-pub struct Feed {
-    pub pos: u64,
-    #[serde(default)]
-    pub entries: Vec<Entry>,
-}
-
-#[derive(Clone, Debug, Deserialize)]
-pub struct Entry {
-    pub pos: u64,
-    hosts: Option<Hosts>,
-    expire: Option<Expire>,
-}
-
-#[derive(Clone, Debug, Deserialize)]
-struct Hosts {
-    #[serde(default)]
-    snapshot: bool,
-    #[serde(default)]
-    endpoints: Vec<Endpoint>,
-}
-
-#[derive(Clone, Debug, Deserialize)]
-struct Endpoint {
-    name: String,
-    address: Option<SocketAddr>,
-    #[serde(default)]
-    zone: String,
-    #[serde(default, rename = "type")]
-    kind: String,
-    #[serde(default)]
-    group: u16,
-    status: String,
-    #[serde(default)]
-    weight: f64,
-    #[serde(default)]
-    since_ms: u64,
-}
-
-#[derive(Clone, Debug, Deserialize)]
-struct Expire {
-    name: Option<String>,
-    set: Option<u32>,
-    stamp: u64,
-}
-
 /// What the journal's words stand for: the settings' zones and kinds.
+#[derive(Clone)]
 pub struct Names {
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
 }
 
+#[derive(Clone)]
 pub struct Journal {
     pub names: Names,
     pub clock: Clock,
@@ -84,9 +46,18 @@
     pub listed: Arc<AtomicBool>,
     /// Where lists go by, for those out by hand; else straight to the desk.
     pub hand: Option<Arc<crate::line::Hand>>,
+    /// Where this process shares what it reads with others of its site, and is told what they read.
+    shared: Option<Shared>,
     pos: u64,
 }
 
+#[derive(Clone)]
+struct Shared {
+    desk: Arc<Desk>,
+    /// The greatest index of a list that was taken: what comes by another way may be older.
+    newest: Arc<Mutex<u64>>,
+}
+
 impl Journal {
     pub fn new(
         names: Names,
@@ -95,7 +66,7 @@
         pool: Arc<Pool>,
         listed: Arc<AtomicBool>,
     ) -> Journal {
-        Journal { names, clock, desk, pool, listed, hand: None, pos: 0 }
+        Journal { names, clock, desk, pool, listed, hand: None, shared: None, pos: 0 }
     }
 
     /// Takes the events that follow on those already taken. Guards against gaps: where one is missing, nothing
@@ -109,19 +80,50 @@
                 return false;
             }
             self.pos = entry.pos;
-            for notice in self.notices(entry) {
-                match (notice, &self.hand) {
-                    (Notice::Members { full, listed }, Some(hand)) => hand.members(full, listed),
-                    (notice, _) => self.desk.tell(notice),
-                }
-            }
-            if entry.hosts.as_ref().is_some_and(|h| h.snapshot) {
-                self.listed.store(true, Ordering::SeqCst);
+            if let Some(Shared { desk, newest }) = &self.shared {
+                desk.count(entry);
+                let mut newest = newest.lock().unwrap_or_else(PoisonError::into_inner);
+                self.tell(entry, Some(&mut newest));
+            } else {
+                self.tell(entry, None);
             }
         }
         true
     }
 
+    fn tell(&self, entry: &Entry, newest: Option<&mut u64>) {
+        if let (Some(hosts), Some(newest)) = (&entry.hosts, newest) {
+            *newest = hosts.index.max(if hosts.snapshot { 0 } else { *newest });
+        }
+        for notice in self.notices(entry) {
+            match (notice, &self.hand) {
+                (Notice::Members { full, listed }, Some(hand)) => hand.members(full, listed),
+                (notice, _) => self.desk.tell(notice),
+            }
+        }
+        if entry.hosts.as_ref().is_some_and(|h| h.snapshot) {
+            self.listed.store(true, Ordering::SeqCst);
+        }
+    }
+
+    /// From now on this process's reading of the source is shared by `desk`; what others read comes by
+    /// [`Journal::relayed`] of a clone.
+    pub fn share(&mut self, desk: Arc<Desk>) {
+        self.shared = Some(Shared { desk, newest: Arc::default() });
+    }
+
+    /// Events by way of a relay. A list older than the one that was taken is passed over: purges can't be too old.
+    pub fn relayed(&self, entries: &[Entry]) {
+        let Some(Shared { newest, .. }) = &self.shared else { return };
+        for entry in entries {
+            let mut newest = newest.lock().unwrap_or_else(PoisonError::into_inner);
+            let older = entry.hosts.as_ref().is_some_and(|hosts| hosts.index < *newest);
+            if !older {
+                self.tell(entry, Some(&mut newest));
+            }
+        }
+    }
+
     /// What an event says. A line or purge that this version has no word for is passed over and told of in the
     /// log: asked for again it would come the same, and hold up all that follows.
     fn notices(&self, entry: &Entry) -> Vec<Notice> {
@@ -171,19 +173,30 @@
     /// Polls for as long as the program runs, wherever the service is; asks again as `backoff` says.
     pub fn follow(mut self, service: &Service, mut backoff: Backoff) {
         let mut buffer = vec![0; ANSWER];
+        let shared = self.shared.as_ref().map(|shared| shared.desk.clone());
         loop {
+            // One that was not read for a while is asked for what there is.
+            let at_once = shared.as_ref().is_some_and(|desk| desk.gate.pass());
+            let wait = if at_once { Duration::ZERO } else { MAX_WAIT };
             let (address, moves) = service.current();
-            match self.poll(service, address, moves, &mut buffer) {
-                Ok(()) => backoff.well(),
+            match self.poll(service, (address, moves), wait, &mut buffer) {
+                Ok(()) => {
+                    backoff.well();
+                    shared.iter().for_each(|desk| desk.fed());
+                }
                 // What ended with the move to another address is no news of the service.
                 Err(_) if service.pause(moves, Duration::ZERO) => backoff.well(),
                 Err(why) => {
                     let wait = backoff.failed();
                     tracing::warn!("journal service: {why}; asking again in {wait:?}");
                     service.hang_up();
+                    shared.iter().for_each(|desk| desk.unfed());
                     service.pause(moves, wait);
                 }
             }
+            if shared.as_ref().is_some_and(|desk| desk.gate.shut()) {
+                service.hang_up();
+            }
             self.pool.sweep();
         }
     }
@@ -191,14 +204,14 @@
     fn poll(
         &mut self,
         service: &Service,
-        address: SocketAddr,
-        moves: u64,
+        (address, moves): (SocketAddr, u64),
+        max_wait: Duration,
         buffer: &mut [u8],
     ) -> Result<(), String> {
         let stream = service.connection(address, moves)?;
-        let (tail, wait) = (self.pos, MAX_WAIT.as_millis());
+        let (tail, wait) = (self.pos, max_wait.as_millis());
         let request = format!("GET /journal?tail={tail}&max_wait={wait} HTTP/1.1\r\nHost: {address}\r\n\r\n");
-        let deadline = Instant::now() + MAX_WAIT + PATIENCE;
+        let deadline = Instant::now() + max_wait + PATIENCE;
         let written =
             stream.set_write_timeout(Some(PATIENCE)).and_then(|()| (&*stream).write_all(request.as_bytes()));
         written.map_err(|e| format!("not asked: {e}"))?;
@@ -222,81 +235,3 @@
         Ok(())
     }
 }
-
-/// Where the journal service is, and the one connection to it. A move shuts that at once: the poll that waits
-/// on it would hear nothing more, and the events after it are told at the new address alone.
-pub struct Service {
-    state: Mutex<Place>,
-    moved: Condvar,
-}
-
-struct Place {
-    address: Option<SocketAddr>,
-    moves: u64,
-    connection: Option<Arc<TcpStream>>,
-}
-
-impl Service {
-    pub fn new(address: Option<SocketAddr>) -> Service {
-        Service { state: Mutex::new(Place { address, moves: 0, connection: None }), moved: Condvar::new() }
-    }
-
-    fn state(&self) -> MutexGuard<'_, Place> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// A service that stays where it is keeps its poll; without one the list stays as it is.
-    pub fn move_to(&self, address: Option<SocketAddr>) {
-        let mut place = self.state();
-        if place.address != address {
-            (place.address, place.moves) = (address, place.moves + 1);
-            place.hang_up();
-            self.moved.notify_all();
-        }
-    }
-
-    /// Where it is, once there is one, and how often it has moved.
-    fn current(&self) -> (SocketAddr, u64) {
-        let mut place = self.state();
-        loop {
-            if let Some(address) = place.address {
-                return (address, place.moves);
-            }
-            place = self.moved.wait(place).unwrap_or_else(PoisonError::into_inner);
-        }
-    }
-
-    /// Waits, but not beyond a move; whether there was one.
-    fn pause(&self, moves: u64, time: Duration) -> bool {
-        let waited = self.moved.wait_timeout_while(self.state(), time, |place| place.moves == moves);
-        waited.unwrap_or_else(PoisonError::into_inner).0.moves != moves
-    }
-
-    /// The connection that there is, or a new one.
-    fn connection(&self, address: SocketAddr, moves: u64) -> Result<Arc<TcpStream>, String> {
-        if let Some(held) = self.state().connection.as_ref() {
-            return Ok(held.clone());
-        }
-        let dialled = TcpStream::connect_timeout(&address, PATIENCE);
-        let stream = Arc::new(dialled.map_err(|e| format!("no connection: {e}"))?);
-        let _ = stream.set_nodelay(true);
-        let mut place = self.state();
-        if place.moves != moves {
-            return Err("moved".to_string());
-        }
-        place.connection = Some(stream.clone());
-        Ok(stream)
-    }
-
-    fn hang_up(&self) {
-        self.state().hang_up();
-    }
-}
-
-impl Place {
-    fn hang_up(&mut self) {
-        if let Some(stream) = self.connection.take() {
-            let _ = stream.shutdown(Shutdown::Both);
-        }
-    }
-}
