--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -1,11 +1,10 @@
 //! The program: it puts the core, the fronts and the upstream together.
 //!
 //! Owns: the configuration ([`config`]), the journal service's client ([`journal`]) and how it waits ([`backoff`]),
-//! the tree in service ([`wiring`]), covered requests ([`cover`]), the log ([`log`]), start and end ([`server`]),
-//! reload ([`reload`]), the fleet in service ([`fleet`]), what `check-config` tells ([`check`]). May not: decide for a
-//! request, or read one.
+//! the journal as it is shared by site ([`relayed`]), the tree in service ([`wiring`]), covered requests ([`cover`]), the log
+//! ([`log`]), start and end ([`server`]), reload ([`reload`]), the fleet in service ([`fleet`]), what `check-config` tells
+//! ([`check`]). May not: decide for a request, or read one.
 
-pub mod backoff;
 pub mod check;
 pub mod config;
 pub mod cover;
@@ -15,5 +14,8 @@
 pub mod line;
 pub mod log;
 pub mod reload;
+pub mod relayed;
 pub mod server;
 pub mod wiring;
+
+pub use foldmux_feed::backoff;
