Have attempts take their turn at the operator's pools before they go

Need: fair slots were pure; nothing in the program waited for one.

- core: Turn and Place stand in front of an attempt, after the module's choice and the limits.
Unset, one look.
Whose turn does not come in time is refused with how long to stay away, or failed where an attempt may have run; the module hears that nothing was sent.
What is attempted ends when its slot's lease does.
- proxy/turns: pools of the operator's file, each behind one lock; a request waits on its own thread, at a channel of its own, and its client's leave wakes it.
- fair: ends of leases are told on the clock of whoever asks, by the least delay of its asks, so never too late.
- settings: the tenants' names and shares; the tests stand in a file of their own.

--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -10,6 +10,7 @@
 use crate::orders::{DeskHandle, Notice, Target};
 use crate::slot::Slot;
 use crate::tally::{End, Tally};
+use crate::turn::Turn;
 use crossbeam_channel::Sender;
 use foldmux::interface::*;
 use std::collections::HashSet;
@@ -33,6 +34,8 @@
     pub tally: Tally,
     /// Limits by class and route, where the operator's file has them.
     pub limits: OnceLock<Arc<Limiter>>,
+    /// Whose turn it is at pools of places, where the operator's file has any.
+    pub turns: OnceLock<Arc<dyn Turn>>,
     /// Advised with a refusal of the core's own.
     pub shed_wait: Time,
     /// How long after its start a member may still be cold.
@@ -70,6 +73,7 @@
             upstream,
             tally: Tally::default(),
             limits: OnceLock::new(),
+            turns: OnceLock::new(),
             shed_wait,
             cold_for,
             most,
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Owns: the module, its timers and the table of open requests ([`desk`]; what passes to and from it: [`orders`]), the life
 //! of a request ([`request`], on the threads of [`threads`]) and of one whose attempts somebody else makes ([`lent`]), what
-//! they share ([`core`]), the list of members ([`members`]), the limits in service ([`limits`]), the buffers
+//! they share ([`core`]), whose turn it is in front of an attempt ([`turn`]), the list of members ([`members`]), the limits in service ([`limits`]), the buffers
 //! ([`buffers`]), the clock ([`clock`]), the counts ([`tally`]).
 //!
 //! May not: open, read or write a socket, or know how a request came or an attempt is made. Fronts hand it an
@@ -23,6 +23,7 @@
 pub mod slot;
 pub mod tally;
 pub mod threads;
+pub mod turn;
 
 pub use crate::core::Core;
 pub use attempt::{Attempt, Got, Tries};
--- a/core/src/request.rs
+++ b/core/src/request.rs
@@ -9,6 +9,7 @@
 use crate::orders::{Notice, Order, ORDERS};
 pub use crate::slot::Slot;
 use crate::tally::End;
+use crate::turn;
 use crossbeam_channel::bounded;
 use foldmux::interface::*;
 use std::sync::Arc;
@@ -48,6 +49,8 @@
     let _ended = Ended(core, slot.id);
     let asked = Ask { budget: left(deadline), ..ask(&inquiry, slot.id, 0) };
     core.desk.tell(Notice::Ask { ask: asked, slot: slot.clone(), orders: Box::new(sender) });
+    // Whether an attempt may have run.
+    let mut ran = false;
     let (end, answer) = loop {
         match orders.recv_deadline(deadline + span(UNORDERED)) {
             Ok(Order::Fetch(mut fetch, target)) => {
@@ -58,12 +61,20 @@
                     core.report(slot.id, &target, Outcome::NeverSent, true);
                     break limited(core, limits.as_ref());
                 }
+                let (place, deadline) = match turn::take(core, &inquiry, &fetch, &target, slot, deadline) {
+                    Ok(turn) => turn,
+                    Err(wait) => {
+                        core.report(slot.id, &target, Outcome::NeverSent, true);
+                        break turned_away(limits.as_ref(), ran, wait);
+                    }
+                };
                 limits.iter().for_each(|held| held.narrow(&mut fetch));
                 let began = Instant::now();
                 let attempt = Attempt { inquiry: &inquiry, slot, fetch: &fetch, target: &target, deadline };
                 let (outcome, got) = core.upstream.attempt(&attempt, &mut bytes);
                 core.tally.sent(&inquiry.class_name, outcome);
-                drop(fill);
+                drop((fill, place));
+                ran |= !outcome.never_ran();
                 limits.iter_mut().for_each(|held| held.heard(began, got.is_some(), outcome.never_ran()));
                 let last = got.is_some() || slot.left();
                 core.report(slot.id, &target, outcome, last);
@@ -136,3 +147,11 @@
         false => (End::Failed, Answer::Failed),
     }
 }
+
+/// The final answer where its turn did not come in time: refused where trying again is harmless, else failed.
+fn turned_away(limits: Option<&Held>, ran: bool, wait: Time) -> (End, Answer) {
+    match !ran || limits.is_some_and(Held::harmless) {
+        true => (End::Refused, Answer::Shed { wait: limits.map_or(wait, |held| held.advice(wait)) }),
+        false => (End::Failed, Answer::Failed),
+    }
+}
--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -10,7 +10,7 @@
 pub mod values;
 
 pub use values::{
-    AskRule, Dns, Durable, ExtProc, Fleet, Hierarchy, LedgerFile, Operator, Relay, Tls, TokenKey,
+    AskRule, Dns, Durable, ExtProc, Fleet, Hierarchy, LedgerFile, Operator, PoolBy, Relay, Tls, TokenKey,
 };
 
 use std::path::Path;
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod line;
 pub mod log;
 pub mod server;
+pub mod turns;
 pub mod wiring;
--- /dev/null
+++ b/proxy/src/turns/pool.rs
@@ -0,0 +1,202 @@
+//! One pool at this process: its queue and slots behind one lock, which is held for microseconds.
+
+use crossbeam_channel::Sender;
+use foldmux::interface::Time;
+use foldmux_core::turn::Place;
+use foldmux_fair::local::{Asked, InUse, Local, Request, Then, Ticket};
+use foldmux_fair::tenants::By;
+use foldmux_fair::{Ask, Told};
+use foldmux_fleet::Port;
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Advised where a turn did not come in time (us), as in [`foldmux_core::Core::shed_wait`].
+const AWAY: Time = 300_000;
+
+/// What one that waits is told.
+pub enum Word {
+    Go(InUse),
+    Late,
+    Left,
+}
+
+struct State {
+    local: Local,
+    waiting: HashMap<u64, Sender<Word>>,
+}
+
+pub struct Pool {
+    pub key: u64,
+    pub by: By,
+    began: Instant,
+    state: Mutex<State>,
+    port: OnceLock<Port<Ask>>,
+}
+
+impl Pool {
+    pub fn new(key: u64, by: By, local: Local) -> Arc<Pool> {
+        let state = Mutex::new(State { local, waiting: HashMap::new() });
+        Arc::new(Pool { key, by, began: Instant::now(), state, port: OnceLock::new() })
+    }
+
+    pub fn ask_by(&self, port: Port<Ask>) {
+        let _ = self.port.set(port);
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub fn at(&self, instant: Instant) -> Time {
+        instant.saturating_duration_since(self.began).as_micros() as Time
+    }
+
+    fn now(&self) -> Time {
+        self.at(Instant::now())
+    }
+
+    pub fn advice(&self) -> Time {
+        AWAY
+    }
+
+    pub fn enter(&self, request: &Request, tell: &Sender<Word>) -> Asked {
+        let mut state = self.state();
+        let now = self.now();
+        let asked = state.local.enter(now, request);
+        if matches!(asked, Asked::Waits(_)) {
+            state.waiting.insert(request.id, tell.clone());
+        }
+        self.go_on(&mut state, now);
+        asked
+    }
+
+    /// One waits no more; false where it was told meanwhile.
+    pub fn left(&self, id: u64, ticket: Ticket) -> bool {
+        let mut state = self.state();
+        state.waiting.remove(&id);
+        state.local.leave(ticket)
+    }
+
+    pub fn told(&self, told: Told) {
+        let mut state = self.state();
+        let now = self.now();
+        state.local.told(now, told);
+        self.go_on(&mut state, now);
+    }
+
+    pub fn beat(&self) {
+        let mut state = self.state();
+        let now = self.now();
+        self.ask(state.local.uses(now));
+        self.go_on(&mut state, now);
+    }
+
+    pub fn leave(&self) {
+        self.ask(Ask::Leaving { pool: self.key });
+    }
+
+    fn ended(&self, used: InUse) {
+        let mut state = self.state();
+        let now = self.now();
+        state.local.ended(now, used);
+        self.go_on(&mut state, now);
+    }
+
+    /// Whoever has its turn now is told, and the fleet what it gets back.
+    fn go_on(&self, state: &mut State, now: Time) {
+        while let Some(then) = state.local.next(now) {
+            let (id, word) = match then {
+                Then::Start(id, used) => (id, Word::Go(used)),
+                Then::Late(id) => (id, Word::Late),
+            };
+            let unheard = match state.waiting.remove(&id) {
+                Some(tell) => tell.try_send(word).err().map(|e| e.into_inner()),
+                None => Some(word),
+            };
+            // Guards against a slot that nobody would give back: whoever waited is gone.
+            if let Some(Word::Go(used)) = unheard {
+                state.local.ended(now, used);
+            }
+        }
+        state.local.gave().into_iter().for_each(|gave| self.ask(gave));
+    }
+
+    /// An ask that finds no room is lost: the next beat says the same of use; a slot that was given back is the seats' once
+    /// its lease is over.
+    fn ask(&self, ask: Ask) {
+        self.port.get().into_iter().for_each(|port| {
+            let _ = port.ask(ask.clone());
+        });
+    }
+}
+
+/// A slot of a pool, until it is dropped.
+pub struct TurnPlace {
+    pool: Arc<Pool>,
+    used: Option<InUse>,
+    until: Instant,
+}
+
+impl TurnPlace {
+    pub fn new(pool: &Arc<Pool>, used: InUse) -> TurnPlace {
+        let until = pool.began + Duration::from_micros(used.until());
+        TurnPlace { pool: pool.clone(), used: Some(used), until }
+    }
+}
+
+impl Place for TurnPlace {
+    fn until(&self) -> Instant {
+        self.until
+    }
+}
+
+impl Drop for TurnPlace {
+    fn drop(&mut self) {
+        self.used.take().into_iter().for_each(|used| self.pool.ended(used));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crossbeam_channel::bounded;
+    use foldmux_fair::queue::Setup;
+    use foldmux_fair::slow::Figures;
+    use foldmux_fair::tenants::Weight;
+    use foldmux_fair::Stock;
+
+    fn request(id: u64, deadline: Time) -> Request<'static> {
+        Request { id, tenant: "a", class: 0, size_kb: 1.0, source: 1, deadline, repeat: false }
+    }
+
+    #[test]
+    fn a_slot_goes_to_whoever_waits_and_comes_back_from_one_that_left() {
+        let setup = Setup {
+            slots: 0,
+            slow_share: 0.5,
+            longest: 3_000_000,
+            waiting: 100,
+            buckets: 8,
+            unnamed: Weight::ONE,
+        };
+        let local = Local::new(1, setup, Figures::new(1, 100_000, 3_000_000), Stock::own(1));
+        let pool = Pool::new(1, By::Class, local);
+        let long = pool.at(Instant::now()) + 60_000_000;
+        let (tell, told) = bounded(2);
+        let Asked::Now(used) = pool.enter(&request(1, long), &tell) else { panic!("a slot is free") };
+        let first = TurnPlace::new(&pool, used);
+        let Asked::Waits(_) = pool.enter(&request(2, long), &tell) else { panic!("it waits") };
+        let (gone, nobody) = bounded(2);
+        let Asked::Waits(_) = pool.enter(&request(3, long), &gone) else { panic!("it waits") };
+        assert!(matches!(pool.enter(&request(4, 1), &tell), Asked::Refused(_)), "its time is over");
+        drop(nobody);
+        assert!(told.try_recv().is_err());
+        drop(first);
+        let Ok(Word::Go(used)) = told.try_recv() else { panic!("the next has its turn") };
+        // The third is gone with its channel: its slot comes back at once.
+        drop(TurnPlace::new(&pool, used));
+        assert_eq!(pool.state().local.sizes(), [0, 0]);
+        assert!(matches!(pool.enter(&request(5, long), &tell), Asked::Now(_)));
+    }
+}
--- a/pure/fair/src/local.rs
+++ b/pure/fair/src/local.rs
@@ -169,8 +169,8 @@
     }
 
     /// What it should hear now and then, and when something begins to wait.
-    pub fn uses(&self) -> Ask {
-        Ask::Uses { pool: self.key, uses: self.queue.uses(MOST) }
+    pub fn uses(&self, now: Time) -> Ask {
+        Ask::Uses { pool: self.key, at: now, uses: self.queue.uses(MOST) }
     }
 
     pub fn retune(&mut self, now: Time, named: &BTreeMap<Arc<str>, Weight>, unnamed: Weight) {
--- a/pure/fair/src/message.rs
+++ b/pure/fair/src/message.rs
@@ -46,8 +46,8 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Ask {
-    /// What this process's tenants used and want.
-    Uses { pool: PoolKey, uses: Vec<Use> },
+    /// What this process's tenants used and want, at a time on the clock of whoever asks: ends of leases are told on it.
+    Uses { pool: PoolKey, at: Time, uses: Vec<Use> },
     /// Slots that it holds no more.
     Gave { pool: PoolKey, gave: Vec<Gave> },
     /// What tenants weigh, by their keys, from now on, in thousandths; and all that are not named together.
@@ -58,7 +58,7 @@
 
 #[derive(Clone, Debug, PartialEq)]
 pub enum Told {
-    /// A slot is held until then, on this process's clock.
+    /// A slot is held until then, on the clock of whoever asks.
     Held { pool: PoolKey, slot: u16, turn: u64, until: Time },
     /// Called back: no more than so many are to be held.
     Most { pool: PoolKey, most: u16 },
--- a/pure/fair/src/pool.rs
+++ b/pure/fair/src/pool.rs
@@ -2,8 +2,8 @@
 
 use crate::digest::{Digest, Heard, Process, Use};
 use crate::division::{targets, wants};
-use crate::holder::Holder;
-use crate::message::{Message, PoolKey, Word};
+use crate::holder::{Holder, Won};
+use crate::message::{Message, PoolKey, Told, Word};
 use crate::seat::Seat;
 use crate::slots::FleetSlots;
 use crate::{Peer, Time};
@@ -36,6 +36,8 @@
     pub used: Time,
     /// This process's part, as it was last worked out.
     pub target: usize,
+    /// This part's clock less that of whoever asks, at the most: an ask is heard after it was made.
+    pub ahead: Option<i128>,
     pub told: Option<Time>,
     /// What this process was last told to hold at most.
     pub most: Option<u16>,
@@ -52,6 +54,7 @@
             uses: Vec::new(),
             used: now,
             target: 0,
+            ahead: None,
             told: None,
             most: None,
             news: false,
@@ -70,13 +73,21 @@
         }
     }
 
+    /// A slot, with its end on the clock of whoever asks: none before it has asked.
+    pub fn told_held(&self, Won { slot, turn, until }: Won) -> Option<Told> {
+        let until = until as i128 - self.ahead?;
+        Some(Told::Held { pool: self.setup.key, slot, turn, until: until.max(0) as Time })
+    }
+
     pub fn claim(&mut self, now: Time, seats: &Change) -> Vec<Word> {
-        let short = self.target.saturating_sub(self.holder.held());
+        let short = self.ahead.map_or(0, |_| self.target.saturating_sub(self.holder.held()));
         self.holder.step(now, seats, short)
     }
 
     /// What tenants want fades over [`FADE`]: slots would else be under way after each moment's needs.
-    pub fn uses(&mut self, now: Time, mut uses: Vec<Use>) {
+    pub fn uses(&mut self, now: Time, at: Time, mut uses: Vec<Use>) {
+        let ahead = now as i128 - at as i128;
+        self.ahead = Some(self.ahead.map_or(ahead, |old| old.min(ahead)));
         let span = now.saturating_sub(std::mem::replace(&mut self.used, now)) as f64;
         let was: BTreeMap<u64, u32> = self.uses.iter().map(|u| (u.tenant, u.wants)).collect();
         for one in &mut uses {
--- a/pure/fair/src/slots.rs
+++ b/pure/fair/src/slots.rs
@@ -6,7 +6,6 @@
 //! Idle ones are lent: a process keeps what it holds until another is short of its part, then gives back what it has over
 //! its own ([`crate::division`]), idle ones at once and those in use as they end.
 
-use crate::holder::Won;
 use crate::message::{Ask, Message, PoolKey, Told, Word};
 use crate::pool::Pool;
 pub use crate::pool::PoolSetup;
@@ -118,8 +117,7 @@
             Word::Granted { life, number, slots, refused, vacant } if life == pool.holder.life => {
                 let (won, word) = pool.holder.granted(now, from, (number, &slots, &refused));
                 pool.holder.vacant(vacant);
-                let held = |Won { slot, turn, until }| Told::Held { pool: key, slot, turn, until };
-                out.extend(won.into_iter().map(|won| Do::Tell(held(won))));
+                out.extend(won.into_iter().filter_map(|won| pool.told_held(won)).map(Do::Tell));
                 let words = word.into_iter().chain(pool.claim(now, &self.seats)).collect();
                 self.to_seats(now, key, words, out);
             }
@@ -140,9 +138,9 @@
 
     fn ask(&mut self, now: Time, ask: Ask, out: &mut Acts<Self>) {
         match ask {
-            Ask::Uses { pool, uses } => {
+            Ask::Uses { pool, at, uses } => {
                 let Some(pool) = self.pools.get_mut(&pool) else { return };
-                pool.uses(now, uses);
+                pool.uses(now, at, uses);
             }
             Ask::Gave { pool: key, gave } => {
                 let Some(pool) = self.pools.get_mut(&key) else { return };
--- a/pure/fair/tests/common/mod.rs
+++ b/pure/fair/tests/common/mod.rs
@@ -17,8 +17,8 @@
 pub mod one;
 pub mod tenants;
 #[allow(unused_imports)]
-#[allow(unused_imports)]
 pub use names::{index, peer};
+#[allow(unused_imports)]
 pub use tenants::{jain, percentile, Figure, Stream};
 
 pub const POOL: u64 = 77;
--- a/pure/fair/tests/common/tenants.rs
+++ b/pure/fair/tests/common/tenants.rs
@@ -182,7 +182,7 @@
         if !self.processes[at].up {
             return;
         }
-        let uses: Ask = self.processes[at].local.uses();
+        let uses: Ask = self.processes[at].local.uses(self.processes[at].clock(self.now));
         self.fleet(at, |fleet, now, out| {
             fleet.ask(now, uses, out);
             fleet.tick(now, out);
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -3,6 +3,9 @@
 
 use foldmux::interface::*;
 use serde::Deserialize;
+use tenants::Project;
+
+mod tenants;
 
 /// The settings object as it is written; [`Facts::decode`] makes it what the program uses.
 #[derive(Deserialize)]
@@ -23,6 +26,8 @@
     weights: String,
     #[serde(default)]
     membership_mode: String,
+    #[serde(default)]
+    projects: Vec<Project>,
 }
 
 #[derive(Deserialize)]
@@ -124,6 +129,8 @@
     pub classes: Vec<String>,
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
+    /// Tenants, and each one's share of the service.
+    pub tenants: Vec<(String, f64)>,
     pub dial_time_out: Time,
     pub keep_alive: Time,
 }
@@ -228,6 +235,7 @@
             classes: self.classes.into_iter().map(|c| c.name).collect(),
             zones: dcs,
             kinds,
+            tenants: self.projects.into_iter().map(|p| (p.name, p.share)).collect(),
             dial_time_out: limits.dial_timeout,
             keep_alive: limits.keepalive,
         })
@@ -235,55 +243,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// What both deployments say, no more.
-    const LEAST: &str = r#"{"index":1,"balancers":4,"locality":2,
-        "classes":[{"name":"page","slo":300000,"hardLimit":2500000,"idempotency":"free"},
-                   {"name":"claim","slo":600000,"hardLimit":3000000,"idempotency":"single_shot"}],
-        "limits":{"maxAttempts":6},
-        "rules":{"answerSlack":8000,"stopSendingWithin":2000000,"coldFrom":0.16,"rampTime":14000000,"fall":1500000,
-                 "fallMultiple":2.0},
-        "domain":{"originKind":1,"midKind":-1,"lifetimeByClass":[12000000,0],"graceFor":[30000000,5000000],
-                  "passOn":[false,true],"siblings":"any"}}"#;
-
-    #[test]
-    fn fresh_time_and_grace_are_read_by_class_and_parents_may_be_absent() {
-        let settings = parse(LEAST).unwrap().settings;
-        let of =
-            |k: usize| (settings.classes[k].fresh, settings.classes[k].grace, settings.classes[k].pass_on);
-        assert_eq!((of(0), of(1)), ((12_000_000, 30_000_000, false), (0, 5_000_000, true)));
-        assert_eq!((settings.parent_kind, settings.origin_kind, settings.drain_grace), (None, 1, 2_000_000));
-        let none = parse(&LEAST.replace(r#","graceFor":[30000000,5000000]"#, "")).unwrap().settings;
-        assert!(none.classes.iter().all(|c| c.grace == 0), "no grace is told: none is taken");
-    }
-
-    #[test]
-    fn a_field_that_no_deployment_has_is_passed_over() {
-        let more =
-            LEAST.replace(r#""balancers":4"#, r#""balancers":4,"moonPhase":{"at":[1,null]},"rack":"b""#);
-        assert_eq!(parse(&more).unwrap().settings.routers, 4);
-    }
-
-    #[test]
-    fn a_field_that_all_have_and_is_missing_is_named_in_one_line() {
-        for key in ["balancers", "locality", "maxAttempts", "stopSendingWithin", "fallMultiple", "originKind"]
-        {
-            let without = LEAST.replace(&format!("\"{key}\""), &format!("\"{key}Once\""));
-            let why = parse(&without).expect_err(key);
-            assert!(why.contains(key) && !why.contains('\n'), "{key}: {why}");
-        }
-    }
-
-    #[test]
-    fn a_time_that_is_negative_no_number_or_not_above_nothing_is_refused() {
-        for (is, becomes) in
-            [("14000000", "-1"), ("14000000", "\"soon\""), ("\"maxAttempts\":6", "\"maxAttempts\":0")]
-        {
-            assert!(parse(&LEAST.replace(is, becomes)).is_err(), "{becomes} for {is}");
-        }
-        let empty = LEAST.replace(r#""idempotency":"free""#, r#""idempotency":"sometimes""#);
-        assert!(parse(&empty).expect_err("an unknown word").contains("sometimes"));
-    }
-}
+mod tests;
