--- a/core/src/core.rs
+++ b/core/src/core.rs
@@ -11,6 +11,7 @@
 use crate::orders::{DeskHandle, Notice, Target};
 use crate::slot::Slot;
 use crate::tally::{End, Tally};
+use crate::turn::Turn;
 use crossbeam_channel::Sender;
 use foldmux::interface::*;
 use std::collections::HashSet;
@@ -43,6 +44,8 @@
     pub limits: OnceLock<Arc<Limiter>>,
     /// Who keeps the records of covered requests, where the operator's file has a fleet.
     pub cover: OnceLock<Arc<dyn Cover>>,
+    /// Whose turn it is at pools of places, where the operator's file has any.
+    pub turns: OnceLock<Arc<dyn Turn>>,
     /// Advised with a refusal of the core's own.
     pub shed_wait: Time,
     /// How long after its start a member may still be cold.
@@ -81,6 +84,7 @@
             tally: Tally::default(),
             limits: OnceLock::new(),
             cover: OnceLock::new(),
+            turns: OnceLock::new(),
             shed_wait,
             cold_for,
             most,
--- a/operator/src/lib.rs
+++ b/operator/src/lib.rs
@@ -9,11 +9,11 @@
 pub mod script;
 pub mod values;
 
-pub use values::{Slow, Stream, StreamFirst};
 pub use values::{
-    AskRule, Cover, Dns, Durable, ExtProc, Fleet, Hierarchy, LedgerFile, Operator, Relay, Tls, TokenKey,
-    Unclaimed, Uncovered,
+    AskRule, Cover, Dns, Durable, ExtProc, Fleet, Hierarchy, LedgerFile, Operator, PoolBy, Relay, Tls,
+    TokenKey, Unclaimed, Uncovered,
 };
+pub use values::{Slow, Stream, StreamFirst};
 
 use std::path::Path;
 
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -13,9 +13,10 @@
 pub mod limits;
 pub mod line;
 pub mod log;
-pub mod reload;
 pub mod relayed;
+pub mod reload;
 pub mod server;
+pub mod turns;
 pub mod wiring;
 
 pub use foldmux_feed::backoff;
