Bound a line of the rig to 96 connections

A dialler that gives up while its way is cut leaves its connection held until the cut is healed, so the bound is what holds.

--- a/rig/src/line.rs
+++ b/rig/src/line.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 /// Connections of a line at one time; those beyond are closed.
-const MOST: usize = 1_024;
+const MOST: usize = 96;
 pub const STACK: usize = 96 * 1024;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
