--- a/shared/feed/src/items.rs
+++ b/shared/feed/src/items.rs
@@ -129,7 +129,7 @@
         );
         let purge = entry(r#"{"pos":2,"expire":{"set":17,"stamp":1764576000480}}"#);
         let mut counter = Counter::default();
-        [&list, &purge].map(|entry| counter.count(entry));
+        [&list, &purge].into_iter().for_each(|entry| counter.count(entry));
         let (epoch, items) = counter.take();
         let said: Vec<_> = items.iter().map(|i| (i.number, i.key.as_deref(), i.gone)).collect();
         assert_eq!(said, [(1, Some("s-1"), false), (2, Some("s-2"), true), (3, None, false)]);
