--- a/Makefile
+++ b/Makefile
@@ -26,7 +26,7 @@
 
 # A day of the model with a rewiring, beside the same day without one and without shields.
 lab: build
-	target/release/foldmux-lab run lab/scenarios/rewire.toml
+	target/release/foldmux-lab run rigs/lab/scenarios/rewire.toml
 
 # The figures in docs/hierarchy.md and docs/limits.md that come from this machine's clock. Nothing else should run.
 bench:
@@ -50,6 +50,6 @@
 demo-fleet: build
 	target/release/foldmux-rig demo --seed $(SEED)
 
-# Every codec against another reading of the same bytes; what is found is kept in rig/fuzz/corpus.
+# Every codec against another reading of the same bytes; what is found is kept in rigs/rig/fuzz/corpus.
 fuzz: build
 	target/release/foldmux-fuzz --seconds $(SECONDS) --seed $(SEED)
--- a/proxy/tests/operator.rs
+++ b/edge/proxy/tests/operator.rs
@@ -19,7 +19,7 @@
 }
 
 fn root(file: &str) -> String {
-    Path::new(env!("CARGO_MANIFEST_DIR")).join("..").join(file).display().to_string()
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..").join(file).display().to_string()
 }
 
 /// A folder that goes with the test.
@@ -49,7 +49,7 @@
 fn the_files_that_are_shipped_are_sound_and_their_plan_is_told() {
     let (well, text) = told(&["check-config", "--operator", &root("deploy/foldmux.star")]);
     assert!(well && text.contains("10 locations, 3 hubs, 3 of them shields"), "{text}");
-    let (old, new) = (root("deploy/foldmux.star"), root("lab/scenarios/rewired.star"));
+    let (old, new) = (root("deploy/foldmux.star"), root("rigs/lab/scenarios/rewired.star"));
     let (taken, text) = told(&["plan", &old, &new]);
     assert!(taken, "{text}");
     insta::assert_snapshot!("plan", text);
--- a/limits/tests/export.rs
+++ b/pure/limits/tests/export.rs
@@ -23,7 +23,7 @@
 
 #[test]
 fn the_committed_schema_is_that_of_the_export() {
-    let committed = include_str!("../../docs/limits.schema.json");
+    let committed = include_str!("../../../docs/limits.schema.json");
     assert_eq!(committed, schema(), "foldmux limits schema > docs/limits.schema.json");
     let table = Table::new(&Account::default(), &draft(3, true, 5.0));
     let value: serde_json::Value = serde_json::from_str(&json(&table)).unwrap();
--- a/operator/tests/faulty.rs
+++ b/shared/operator/tests/faulty.rs
@@ -8,7 +8,7 @@
 use std::path::{Path, PathBuf};
 
 fn files() -> Vec<PathBuf> {
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../limits/tests/faulty");
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../pure/limits/tests/faulty");
     let mut files: Vec<PathBuf> =
         std::fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path()).collect();
     files.sort();
