--- a/edge/core/src/desk.rs
+++ b/edge/core/src/desk.rs
@@ -108,6 +108,7 @@
                 }
             }
             Notice::Members { full, listed } => {
+                let listed = self.members.one_at_an_address(full, listed);
                 let members = listed.iter().map(|l| l.member.clone()).collect();
                 for former in self.members.apply(full, listed) {
                     self.ended.iter().for_each(|hook| hook(&former));
--- a/edge/core/src/members.rs
+++ b/edge/core/src/members.rs
@@ -2,7 +2,7 @@
 //! sent to. The desk alone writes; everything else reads.
 
 use foldmux::interface::{CacheId, Member, State, Time};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, PoisonError, RwLock};
 
@@ -61,6 +61,28 @@
         start.filter(|start| self.allows(cache, *start)).and_then(|_| self.get(cache))
     }
 
+    /// The lines as they are to be taken, where an address was taken over: of two ids at one address the one that started
+    /// earlier is gone, whichever is told first. Guards against what one cache bore being sent to the cold one in its place.
+    pub fn one_at_an_address(&self, full: bool, mut listed: Vec<Listed>) -> Vec<Listed> {
+        let members = self.by_id.read().unwrap_or_else(PoisonError::into_inner);
+        let named: HashSet<CacheId> = listed.iter().map(|l| l.member.cache).collect();
+        let other = |l: &&Listed| !full && !named.contains(&l.member.cache);
+        let mut latest: HashMap<SocketAddr, Time> = HashMap::new();
+        for line in
+            listed.iter().filter(|l| l.member.state != State::Gone).chain(members.values().filter(other))
+        {
+            let boot = latest.entry(line.address).or_default();
+            *boot = line.member.boot.max(*boot);
+        }
+        let over = |l: &Listed| latest.get(&l.address).is_some_and(|boot| *boot > l.member.boot);
+        let gone =
+            |l: &Listed| Listed { member: Member { state: State::Gone, ..l.member.clone() }, ..l.clone() };
+        let taken: Vec<Listed> = members.values().filter(other).filter(|l| over(l)).map(gone).collect();
+        listed.iter_mut().filter(|l| over(l)).for_each(|l| l.member.state = State::Gone);
+        listed.extend(taken);
+        listed
+    }
+
     /// Takes a list and returns those whose former start takes no more work, whatever the reason.
     pub fn apply(&self, full: bool, listed: Vec<Listed>) -> Vec<Listed> {
         let mut members = self.by_id.write().unwrap_or_else(PoisonError::into_inner);
@@ -101,6 +123,37 @@
         Listed { member, name: "s-00000001".into(), address: SocketAddr::from(([127, 0, 0, 1], port)) }
     }
 
+    #[test]
+    fn an_address_has_one_holder_the_one_that_started_last_whichever_is_told_first() {
+        let line = |id: u32, boot: Time, port: u16| {
+            let mut line = listed(State::Ready, boot, port);
+            (line.member.cache, line.name) = (CacheId(id), format!("s-{id:08x}").into());
+            line
+        };
+        let take = |members: &Members, full: bool, lines: Vec<Listed>| {
+            let lines = members.one_at_an_address(full, lines);
+            let gone: Vec<u32> =
+                lines.iter().filter(|l| l.member.state == State::Gone).map(|l| l.member.cache.0).collect();
+            members.apply(full, lines);
+            gone
+        };
+        let members = Members::default();
+        // Several that started long ago may share an address: nothing was taken over.
+        assert!(take(&members, true, vec![line(1, 0, 80), line(2, 0, 80), line(3, 5, 81)]).is_empty());
+        // A new one takes it over, before the former holders are said to be gone.
+        let mut gone = take(&members, false, vec![line(4, 9, 80)]);
+        gone.sort();
+        assert_eq!(gone, [1, 2]);
+        assert!(members.get(CacheId(4)).is_some() && members.get(CacheId(1)).is_none());
+        // What comes late of a former holder changes nothing; neither does a list that still has both.
+        assert_eq!(take(&members, false, vec![line(1, 0, 80)]), [1]);
+        assert_eq!(take(&members, true, vec![line(1, 0, 80), line(4, 9, 80), line(3, 5, 81)]), [1]);
+        // It moves on, or starts again where it was: then it holds what it has.
+        assert!(take(&members, false, vec![line(1, 12, 82)]).is_empty());
+        assert!(take(&members, false, vec![line(4, 20, 80)]).is_empty());
+        assert_eq!(members.census(|_| false), (3, 0));
+    }
+
     #[test]
     fn a_start_is_allowed_until_it_drains_goes_restarts_or_moves() {
         for next in [
--- a/edge/upstream/src/pool.rs
+++ b/edge/upstream/src/pool.rs
@@ -19,13 +19,27 @@
 
 #[derive(Default)]
 struct State {
-    idle: HashMap<CacheId, Vec<Kept>>,
+    caches: HashMap<CacheId, Shelf>,
     out: usize,
 }
 
+/// The idle connections to one cache. One that was lent comes back to the shelf that it came from, or to none where that
+/// was discarded since: it would hold a place at a cache that drains, for nothing.
+#[derive(Default)]
+struct Shelf {
+    idle: Vec<Kept>,
+    own: Arc<()>,
+}
+
+impl Shelf {
+    fn is_over(&self) -> bool {
+        self.idle.is_empty() && Arc::strong_count(&self.own) == 1
+    }
+}
+
 impl State {
     fn idle_count(&self) -> usize {
-        self.idle.values().map(Vec::len).sum()
+        self.caches.values().map(|shelf| shelf.idle.len()).sum()
     }
 }
 
@@ -40,6 +54,7 @@
     pool: Arc<Pool>,
     cache: CacheId,
     start: Start,
+    shelf: Arc<()>,
     stream: Option<Arc<TcpStream>>,
     /// Its last answer was read to the end: it may be used again.
     pub reusable: bool,
@@ -64,7 +79,11 @@
         state.out -= 1;
         if let (true, Some(stream)) = (self.reusable, self.stream.take()) {
             let kept = Kept { stream, start: self.start, since: Instant::now() };
-            state.idle.entry(self.cache).or_default().push(kept);
+            if let Some(shelf) = state.caches.get_mut(&self.cache) {
+                if Arc::ptr_eq(&shelf.own, &self.shelf) {
+                    shelf.idle.push(kept);
+                }
+            }
         }
     }
 }
@@ -83,7 +102,9 @@
     pub fn lend(self: &Arc<Self>, cache: CacheId, start: Start) -> Option<Loan> {
         let mut state = self.state();
         let mut stream = None;
-        while let Some(kept) = state.idle.get_mut(&cache).and_then(Vec::pop) {
+        let shelf = state.caches.entry(cache).or_default();
+        let own = shelf.own.clone();
+        while let Some(kept) = shelf.idle.pop() {
             if kept.start == start && kept.since.elapsed() < self.keep && quiet(&kept.stream) {
                 stream = Some(kept.stream);
                 break;
@@ -91,25 +112,23 @@
         }
         if stream.is_none() && state.out + state.idle_count() >= self.most {
             // A place that holds an idle connection to another cache is worth less than this request.
-            let oldest =
-                state.idle.iter().filter(|(_, kept)| !kept.is_empty()).min_by_key(|(_, k)| k[0].since);
-            let oldest = oldest.map(|(cache, _)| *cache)?;
-            state.idle.get_mut(&oldest)?.remove(0);
+            let idle = state.caches.values_mut().filter(|shelf| !shelf.idle.is_empty());
+            idle.min_by_key(|shelf| shelf.idle[0].since)?.idle.remove(0);
         }
         state.out += 1;
-        Some(Loan { pool: self.clone(), cache, start, stream, reusable: false })
+        Some(Loan { pool: self.clone(), cache, start, shelf: own, stream, reusable: false })
     }
 
     /// Closes what was idle too long.
     pub fn sweep(&self) {
         let mut state = self.state();
-        state.idle.values_mut().for_each(|kept| kept.retain(|k| k.since.elapsed() < self.keep));
-        state.idle.retain(|_, kept| !kept.is_empty());
+        state.caches.values_mut().for_each(|shelf| shelf.idle.retain(|k| k.since.elapsed() < self.keep));
+        state.caches.retain(|_, shelf| !shelf.is_over());
     }
 
-    /// The cache drains, is gone, started anew or moved.
+    /// The cache drains, is gone, started anew or moved: what is out to it now is closed when it comes home.
     pub fn discard(&self, cache: CacheId) {
-        self.state().idle.remove(&cache);
+        self.state().caches.remove(&cache);
     }
 
     /// Connections out, and idle ones.
@@ -156,7 +175,7 @@
         // Closed by the other side; an answer that nobody asked for.
         for speaks in [false, true] {
             let mut far = give_back(&pool, &listener, start);
-            let near = pool.state().idle[&CACHE][0].stream.clone();
+            let near = pool.state().caches[&CACHE].idle[0].stream.clone();
             if speaks {
                 far.write_all(b"x").unwrap();
             } else {
@@ -186,4 +205,28 @@
         hasty.sweep();
         assert_eq!(hasty.count(), (0, 0));
     }
+
+    #[test]
+    fn what_is_out_when_its_cache_drains_is_closed_when_it_comes_home() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let start = Start { boot: 0, address: listener.local_addr().unwrap() };
+        let pool = Pool::new(8, Duration::from_secs(60));
+        let lent = |pool: &Arc<Pool>| {
+            let mut loan = pool.lend(CACHE, start).unwrap();
+            loan.stream(Duration::from_secs(5)).unwrap();
+            loan.reusable = true;
+            loan
+        };
+        let (first, second) = (lent(&pool), lent(&pool));
+        drop(first);
+        assert_eq!(pool.count(), (1, 1));
+        pool.discard(CACHE);
+        drop(second);
+        assert_eq!(pool.count(), (0, 0), "closed, not kept");
+        // It comes back under the same start: what is dialled from then on is kept again.
+        drop(lent(&pool));
+        assert_eq!(pool.count(), (0, 1));
+        pool.sweep();
+        assert_eq!(pool.count(), (0, 1));
+    }
 }
--- a/hub/src/purges.rs
+++ b/hub/src/purges.rs
@@ -1,58 +1,49 @@
 //! The journal service's purges: a gapless long poll, each event once, in order. What it tells of hosts is passed
-//! over. An answer that is lost or can't be read is asked for again, from the last event taken.
+//! over. An answer that is lost or can't be read is asked for again, from the last event taken, after a wait that each hub
+//! draws for itself.
 
 use crate::state::Hub;
+use foldmux_feed::backoff::Backoff;
+use foldmux_feed::words::{Expire, Feed};
+use foldmux_figures::mix;
 use foldmux_http1::io::write_all;
 use foldmux_http1::read_response;
-use serde::Deserialize;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::Ordering;
 use std::sync::Weak;
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// The longest that a poll asks for.
 const WAIT: Duration = Duration::from_millis(1_000);
-/// Beyond the wait, until an answer counts as lost.
+/// Beyond that wait, until an answer counts as lost.
 const PATIENCE: Duration = Duration::from_millis(1_500);
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_millis(500));
 const ANSWER: usize = 1024 * 1024;
 
-#[derive(Debug, Deserialize)]
-struct Feed {
-    #[serde(default)]
-    entries: Vec<Entry>,
-}
-
-#[derive(Debug, Deserialize)]
-struct Entry {
-    pos: u64,
-    expire: Option<Expire>,
-}
-
-#[derive(Debug, Deserialize)]
-struct Expire {
-    name: Option<String>,
-    stamp: u64,
+/// How a hub of this name waits: hubs whose connections break at once must not come back in step.
+pub fn backoff(name: &str) -> Backoff {
+    Backoff::new(name.bytes().fold(0, |seed, byte| mix(seed ^ byte as u64)))
 }
 
 /// Follows the journal for as long as the hub is there.
 pub fn follow(hub: &Weak<Hub>, address: SocketAddr) {
-    let (mut pos, mut backoff, mut buffer) = (0, BACKOFF.0, vec![0; ANSWER]);
+    let Some(mut backoff) = hub.upgrade().map(|hub| backoff(&hub.name)) else { return };
+    let (mut pos, mut buffer) = (0, vec![0; ANSWER]);
     let mut link = None;
     loop {
-        let polled = poll(&mut link, address, pos, &mut buffer);
+        let polled = poll(&mut link, address, pos, backoff.hold(WAIT), &mut buffer);
         let Some(hub) = hub.upgrade() else { return };
         if hub.leaving.load(Ordering::SeqCst) {
             return;
         }
         match polled.and_then(|feed| take(&hub, &feed, &mut pos)) {
-            Ok(()) => backoff = BACKOFF.0,
+            Ok(()) => backoff.well(),
             Err(why) => {
-                tracing::warn!("journal service: {why}; asking again in {backoff:?}");
+                let wait = backoff.failed();
+                tracing::warn!("journal service: {why}; asking again in {wait:?}");
                 link = None;
                 drop(hub);
-                thread::sleep(backoff);
-                backoff = (backoff * 2).min(BACKOFF.1);
+                thread::sleep(wait);
             }
         }
     }
@@ -67,7 +58,7 @@
             return Err(format!("event {} came after {pos}", entry.pos));
         }
         *pos = entry.pos;
-        if let Some(Expire { name, stamp }) = &entry.expire {
+        if let Some(Expire { name, stamp, .. }) = &entry.expire {
             // A group, or a name that can't be read, may be any object here.
             let object = name.as_deref().and_then(|name| u64::from_str_radix(name, 16).ok());
             hub.purge(object, *stamp);
@@ -80,15 +71,16 @@
     link: &mut Option<TcpStream>,
     address: SocketAddr,
     pos: u64,
+    wait: Duration,
     buffer: &mut [u8],
 ) -> Result<Feed, String> {
     let stream = match link.take() {
         Some(stream) => stream,
         None => TcpStream::connect_timeout(&address, PATIENCE).map_err(|e| format!("{address}: {e}"))?,
     };
-    let until = Instant::now() + WAIT + PATIENCE;
+    let until = Instant::now() + wait + PATIENCE;
     let ask =
-        format!("GET /journal?tail={pos}&max_wait={} HTTP/1.1\r\nHost: {address}\r\n\r\n", WAIT.as_millis());
+        format!("GET /journal?tail={pos}&max_wait={} HTTP/1.1\r\nHost: {address}\r\n\r\n", wait.as_millis());
     write_all(&stream, &[ask.as_bytes()], until).map_err(|e| format!("not asked: {e:?}"))?;
     let answer = read_response(&stream, buffer, until).map_err(|e| format!("no answer: {e:?}"))?;
     if answer.status != 200 {
@@ -101,3 +93,23 @@
     }
     Ok(feed)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn hubs_whose_connections_break_at_once_ask_again_at_different_times() {
+        let mut hubs: Vec<Backoff> = (0..50).map(|n| backoff(&format!("hub-{n}"))).collect();
+        let mut asks = [Duration::ZERO; 50];
+        for nth in 1..6 {
+            asks.iter_mut().zip(&mut hubs).for_each(|(at, hub)| *at += hub.failed());
+            let within = |at: &Duration| {
+                let window = *at..*at + Duration::from_millis(10);
+                asks.iter().filter(|ask| window.contains(ask)).count()
+            };
+            let busiest = asks.iter().map(within).max();
+            assert!(busiest <= Some(15), "{busiest:?} of 50 within 10 ms at ask {nth}");
+        }
+    }
+}
--- a/shared/feed/src/backoff.rs
+++ b/shared/feed/src/backoff.rs
@@ -9,6 +9,8 @@
 /// The range of the first wait, and the longest: news counts as told 2 s after a break, so that three waits fit in it.
 const FIRST: (Duration, Duration) = (Duration::from_millis(10), Duration::from_millis(150));
 const LONGEST: Duration = Duration::from_millis(500);
+/// The least part of the longest wait that a poll asks for.
+const HOLD: f64 = 0.8;
 
 /// Waits that are drawn evenly from a range which doubles with each failure, up to a bound.
 pub struct Backoff {
@@ -30,8 +32,18 @@
     pub fn failed(&mut self) -> Duration {
         let most = self.most;
         self.most = (most * 2).min(LONGEST);
-        let part = (self.draws.draw() >> 11) as f64 / (1u64 << 53) as f64;
-        FIRST.0 + (most - FIRST.0).mul_f64(part)
+        FIRST.0 + (most - FIRST.0).mul_f64(self.part())
+    }
+
+    /// How long a poll asks to be held, of `most`: an event answers the polls of a whole fleet at one moment, and polls
+    /// of one length would end in step from then on. Whole milliseconds.
+    pub fn hold(&mut self, most: Duration) -> Duration {
+        let part = HOLD + (1.0 - HOLD) * self.part();
+        Duration::from_millis(most.mul_f64(part).as_millis() as u64)
+    }
+
+    fn part(&mut self) -> f64 {
+        (self.draws.draw() >> 11) as f64 / (1u64 << 53) as f64
     }
 }
 
@@ -71,6 +83,24 @@
         }
     }
 
+    #[test]
+    fn polls_that_one_event_answered_do_not_end_in_step() {
+        let most = Duration::from_millis(1_000);
+        let mut fleet: Vec<Backoff> =
+            (0..100u64).map(|n| Backoff::new(n.wrapping_mul(0x1234_5678_9abc_def1))).collect();
+        let mut ends = vec![0; 100];
+        for nth in 1..20 {
+            for (end, proxy) in ends.iter_mut().zip(&mut fleet) {
+                let hold = proxy.hold(most);
+                assert!(hold <= most && hold >= most.mul_f64(0.79), "{hold:?}");
+                *end += hold.as_millis();
+            }
+            let within = |at: &u128| ends.iter().filter(|end| (*at..at + 10).contains(*end)).count();
+            let busiest = ends.iter().map(within).max();
+            assert!(busiest <= Some(20), "{busiest:?} of 100 within 10 ms at poll {nth}");
+        }
+    }
+
     #[test]
     fn the_same_seed_draws_the_same_waits() {
         let mut a = Backoff::new(7);
--- a/shared/feed/src/words.rs
+++ b/shared/feed/src/words.rs
@@ -1,10 +1,14 @@
-//! The journal's words: what an answer of its long poll holds.
+//! The journal's words: what an answer of its long poll holds. A line of a list, or what an event says, that can't be read
+//! costs itself alone: asked for again it would come the same, and hold up all that follows. The number of an event must
+//! be there, for what comes after it.
 
-use serde::{Deserialize, Serialize};
+use serde::de::IgnoredAny;
+use serde::{Deserialize, Deserializer, Serialize};
 use std::net::SocketAddr;
 
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Feed {
+    #[serde(default)]
     pub pos: u64,
     #[serde(default)]
     pub entries: Vec<Entry>,
@@ -13,9 +17,9 @@
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Entry {
     pub pos: u64,
-    #[serde(skip_serializing_if = "Option::is_none")]
+    #[serde(default, deserialize_with = "one", skip_serializing_if = "Option::is_none")]
     pub hosts: Option<Hosts>,
-    #[serde(skip_serializing_if = "Option::is_none")]
+    #[serde(default, deserialize_with = "one", skip_serializing_if = "Option::is_none")]
     pub expire: Option<Expire>,
     /// Of relays alone: what may be missing before the next; the source itself knows.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -29,7 +33,7 @@
     pub index: u64,
     #[serde(default)]
     pub snapshot: bool,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "each")]
     pub endpoints: Vec<Endpoint>,
 }
 
@@ -65,3 +69,93 @@
     pub from: u64,
     pub to: Option<u64>,
 }
+
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Read<T> {
+    Well(T),
+    Nothing(()),
+    Not(IgnoredAny),
+}
+
+impl<T> Read<T> {
+    fn well(self, what: &str) -> Option<T> {
+        if matches!(self, Read::Not(_)) {
+            tracing::warn!("journal service: {what} that can't be read is passed over");
+        }
+        match self {
+            Read::Well(read) => Some(read),
+            _ => None,
+        }
+    }
+}
+
+fn one<'de, D: Deserializer<'de>, T: Deserialize<'de>>(from: D) -> Result<Option<T>, D::Error> {
+    Ok(Read::deserialize(from)?.well("an event"))
+}
+
+fn each<'de, D: Deserializer<'de>, T: Deserialize<'de>>(from: D) -> Result<Vec<T>, D::Error> {
+    let all = Vec::<Read<T>>::deserialize(from)?.into_iter();
+    Ok(all.filter_map(|line| line.well("a line of the list")).collect())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn feed(text: &str) -> Result<Feed, String> {
+        simd_json::serde::from_slice(&mut text.as_bytes().to_vec()).map_err(|e| e.to_string())
+    }
+
+    const GOOD: &str = r#"{"name":"s-1","address":"10.1.0.9:7001","zone":"east","type":"std","group":2,"status":"ready","weight":4,"since_ms":12}"#;
+
+    #[test]
+    fn a_line_that_cannot_be_read_costs_itself_alone() {
+        let bad = [
+            "7",
+            "null",
+            "[]",
+            "{}",
+            r#"{"name":"s-2"}"#,
+            r#"{"name":5,"status":"ready"}"#,
+            r#"{"name":"s-2","status":"ready","address":"nowhere"}"#,
+            r#"{"name":"s-2","status":"ready","address":"10.1.0.9:70010"}"#,
+            r#"{"name":"s-2","status":"ready","group":-1}"#,
+            r#"{"name":"s-2","status":"ready","group":70000}"#,
+            r#"{"name":"s-2","status":"ready","since_ms":-4}"#,
+            r#"{"name":"s-2","status":"ready","weight":"heavy"}"#,
+        ];
+        for line in bad {
+            let text = format!(
+                r#"{{"pos":2,"entries":[{{"pos":1,"hosts":{{"index":3,"snapshot":true,"endpoints":[{GOOD},{line},{GOOD}]}}}},{{"pos":2,"expire":{{"set":4,"stamp":9}}}}]}}"#
+            );
+            let feed = feed(&text).expect(line);
+            let hosts = feed.entries[0].hosts.as_ref().unwrap();
+            assert!(hosts.snapshot && hosts.endpoints.iter().all(|e| e.name == "s-1"), "{line}");
+            let first = &hosts.endpoints[0];
+            assert_eq!((hosts.endpoints.len(), first.group, first.weight, first.since_ms), (2, 2, 4.0, 12));
+            assert_eq!(first.address, Some("10.1.0.9:7001".parse().unwrap()));
+            assert_eq!(feed.entries[1].expire.as_ref().unwrap().set, Some(4));
+        }
+    }
+
+    #[test]
+    fn an_event_whose_words_cannot_be_read_keeps_its_number_and_an_answer_cut_short_is_none() {
+        for said in [
+            r#""hosts":5"#,
+            r#""hosts":null"#,
+            r#""expire":{"set":-1,"stamp":9}"#,
+            r#""expire":{"name":"a"}"#,
+        ] {
+            let read =
+                feed(&format!(r#"{{"pos":2,"entries":[{{"pos":1,{said}}},{{"pos":2}}]}}"#)).expect(said);
+            assert_eq!(read.entries.iter().map(|e| e.pos).collect::<Vec<_>>(), [1, 2]);
+            assert!(read.entries[0].hosts.is_none() && read.entries[0].expire.is_none());
+        }
+        let whole = format!(r#"{{"pos":1,"entries":[{{"pos":1,"hosts":{{"endpoints":[{GOOD}]}}}}]}}"#);
+        assert!(feed(&whole).is_ok());
+        for cut in 1..whole.len() {
+            assert!(feed(&whole[..cut]).is_err(), "{}", &whole[..cut]);
+        }
+    }
+}
