--- a/edge/proxy/src/fleet.rs
+++ b/edge/proxy/src/fleet.rs
@@ -1,16 +1,21 @@
 //! What this process shares with others, in service: its links, and who of the fleet is up. Off unless the operator's
 //! file calls `fleet(…)` and this process is one of its peers.
 
+use crate::journal::Journal;
+use foldmux_core::Core;
 use foldmux_fleet::members::{self, Roll};
 use foldmux_fleet::{Builder, Fault, Port, Setup, Sink};
 use foldmux_members::{Ask, Pace, Seen, Told, Who};
 use foldmux_operator::Fleet as Said;
 use foldmux_peers::Bounds;
 use foldmux_seats::{Acts, Do, Part, Peer, Time};
-use foldmux_settings::Decoded;
+use parts::{Own, Parts, Serving};
 use std::path::Path;
+use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 
+pub mod parts;
+
 /// Longest that what is still to be said may take at the end.
 const LAST_WORDS: Duration = Duration::from_millis(100);
 /// The byte of the part that only looks on: no frame has it.
@@ -18,22 +23,30 @@
 
 /// A fleet that was checked and may start.
 pub struct Fleet {
-    setup: Setup,
-    members: foldmux_members::Setup,
+    builder: Builder,
+    members: Port<Ask>,
+    roll: Roll,
+    parts: Parts,
+    /// For the log: how many it has, this one's site, where it listens.
+    told: (usize, String, std::net::SocketAddr),
+    all: Vec<Peer>,
+    seed: u64,
 }
 
 /// The fleet in service.
 pub struct Running {
     fleet: foldmux_fleet::Fleet,
     members: Port<Ask>,
+    serving: Serving,
     /// Who of the fleet was seen, for any thread.
     pub roll: Roll,
 }
 
 impl Fleet {
     /// None where this process is no peer of it; an error is one plain line.
-    pub fn new(said: &Said, name: &str, decoded: &Decoded, seed: u64) -> Result<Option<Fleet>, String> {
-        let Some(own) = said.peer(name) else {
+    pub fn new(said: &Said, own: &Own) -> Result<Option<Fleet>, String> {
+        let Own { name, decoded, seed, .. } = *own;
+        let Some(place) = said.peer(name) else {
             tracing::warn!("fleet: {name:?} is no peer of it; it is off here");
             return Ok(None);
         };
@@ -46,7 +59,7 @@
                 tracing::warn!("fleet: the site {site} of {} is no zone of the settings", peer.name);
             }
         }
-        let setup = Setup {
+        let mut builder = Builder::new(Setup {
             name: Peer::new(name),
             listen: said.listen,
             peers: said.peers.iter().map(|peer| (Peer::new(&peer.name), peer.address)).collect(),
@@ -54,43 +67,51 @@
             seed,
             queue: said.queue as usize,
             bounds: bounds(said.round_trip_ms, said.peers.len()),
-        };
+        });
         let born = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-        let me = Who::new(Peer::new(name), &own.site, own.address, born.as_micros() as u64);
+        let me = Who::new(Peer::new(name), &place.site, place.address, born.as_micros() as u64);
         let pace = Pace { rtt: said.round_trip_ms * 1_000, size: said.peers.len() as u32 };
         // Names of the list alone: no other is linked.
-        let members = foldmux_members::Setup { me, pace, most: said.peers.len(), seed };
-        Ok(Some(Fleet { setup, members }))
-    }
-
-    pub fn start(self) -> Result<Running, String> {
-        let Fleet { setup, members } = self;
-        let (listen, count) = (setup.listen, setup.peers.len());
-        let all = setup.peers.iter().map(|(peer, _)| peer.clone()).collect();
-        let site = members.me.site.clone();
-        let mut builder = Builder::new(setup);
-        let added = members::add(&mut builder, members, Log);
+        let setup = foldmux_members::Setup { me, pace, most: said.peers.len(), seed };
+        let added = members::add(&mut builder, setup, Log);
         let (members, roll) = added.map_err(|e| format!("fleet: {e}"))?;
         builder.add(WATCH, Watch, Log);
+        let parts = Parts::add(&mut builder, said, own)?;
+        let told = (said.peers.len(), place.site.clone(), said.listen);
+        let all = said.peers.iter().map(|peer| Peer::new(&peer.name)).collect();
+        Ok(Some(Fleet { builder, members, roll, parts, told, all, seed }))
+    }
+
+    /// Before the journal is read.
+    pub fn share(&self, journal: &mut Journal) {
+        self.parts.share(journal);
+    }
+
+    /// `journal`: a clone of the one that is read.
+    pub fn start(self, core: &Arc<Core>, journal: Journal) -> Result<Running, String> {
+        let Fleet { builder, members, roll, parts, told: (count, site, listen), all, seed } = self;
         let fleet = builder.start(Log).map_err(|e| format!("fleet: listening on {listen}: {e}"))?;
         match fleet.links().address() {
             Some(on) => tracing::info!("fleet: one of {count}, at site {site}, on {on}"),
             None => tracing::warn!("fleet: {listen} is in use; one of {count}, that dials until it is free"),
         }
-        // The queue is empty, and has room for one.
+        let serving = parts.start(core, journal, fleet.began(), seed)?;
+        // The queue has room for one at the start.
         let _ = members.ask(Ask::Join(all));
-        Ok(Running { fleet, members, roll })
+        Ok(Running { fleet, members, serving, roll })
     }
 }
 
 impl Running {
-    /// The others are told that this process leaves; it goes on until [`Running::end`].
+    /// The others are told that this process leaves, and what they may go on with; it goes on until [`Running::end`].
     pub fn leave(&self) {
+        self.serving.leave();
         let asked = self.members.ask(Ask::Leave);
         asked.err().iter().for_each(|e| tracing::warn!("fleet: leaving without a word: {e:?}"));
     }
 
     pub fn end(self) {
+        self.serving.report();
         let counts = self.fleet.links().counts();
         let (links, broken, strangers) = (counts.links.get(), counts.broken.get(), counts.strangers.get());
         let (dropped, unlinked) = (counts.dropped.get(), counts.unlinked.get());
--- a/edge/proxy/src/server.rs
+++ b/edge/proxy/src/server.rs
@@ -2,7 +2,7 @@
 
 use crate::backoff::Backoff;
 use crate::config::Config;
-use crate::fleet;
+use crate::fleet::{self, parts::Own};
 use crate::journal::{Journal, Names, Service};
 use crate::limits;
 use crate::line::{self, Hand, Sources};
@@ -58,9 +58,6 @@
     let mut tune = Classes::new(rules(&decoded)).map_err(|refused| format!("configuration: {refused}"))?;
     let dns = operator.dns.map(Bound::new).transpose()?;
     let processor = operator.ext_proc.map(|setup| Processor::new(setup, processed(&tune))).transpose()?;
-    let own_fleet = operator.fleet.as_ref();
-    let own_fleet = own_fleet.map(|setup| fleet::Fleet::new(setup, &config.name, &decoded, config.seed));
-    let own_fleet = own_fleet.transpose()?.flatten();
     let zones = Zones {
         names: decoded.zones.clone(),
         own: decoded.settings.zone,
@@ -73,6 +70,17 @@
     let cold_for = decoded.settings.cache_cold_for.max(decoded.settings.parent_cold_for);
     let classes: Vec<Arc<str>> = decoded.classes.iter().map(|c| c.as_str().into()).collect();
     let taken = served(&tune);
+    let own = Own {
+        name: &config.name,
+        decoded: &decoded,
+        classes: taken.iter().map(|class| (&class.name, &class.place)).collect(),
+        members: &members,
+        open: bounds.open,
+        memory_mb: config.limits[1],
+        seed: config.seed,
+    };
+    let own_fleet = operator.fleet.as_ref().map(|said| fleet::Fleet::new(said, &own));
+    let own_fleet = own_fleet.transpose()?.flatten();
     let attempts = decoded.settings.max_attempts;
     let account = limits::account(&decoded, config.limits[0], config.limits[1]);
     let limited = operator
@@ -120,6 +128,7 @@
     let hand = Arc::new(Hand::new(handle, kept));
     journal.hand = Some(hand.clone());
     classes.iter().for_each(|class| core.tally.know(class));
+    own_fleet.iter().for_each(|fleet| fleet.share(&mut journal));
     // What is known at the start comes before anything else.
     if !journal.take(&config.known) {
         return Err("configuration: known has a gap in its events".to_string());
@@ -128,6 +137,7 @@
     if config.journal.is_none() {
         tracing::warn!("no journal service: the list stays as configured");
     }
+    let relayed = own_fleet.is_some().then(|| journal.clone());
     let followed = service.clone();
     let backoff = Backoff::new(config.seed);
     named("journal", 512 * 1024, move || journal.follow(&followed, backoff))?;
@@ -160,7 +170,8 @@
         accept_until(&listener, &places, READER_STACK, Arc::new(serve), &close);
         tracing::info!("no more connections are taken");
     })?;
-    let own_fleet = own_fleet.map(fleet::Fleet::start).transpose()?;
+    let own_fleet = own_fleet.zip(relayed).map(|(fleet, journal)| fleet.start(&core, journal));
+    let own_fleet = own_fleet.transpose()?;
     tracing::info!("{} serves on {on}", config.name);
     let sources = Arc::new(Sources {
         core: core.clone(),
