--- /dev/null
+++ b/rigs/lab/src/storm/boxes.rs
@@ -0,0 +1,160 @@
+//! An attempt: whether the limits let it go, and how a box answers it.
+
+use super::play::{Event, World};
+use super::*;
+use foldmux::interface::Report as Told;
+use rand::RngExt;
+use rand_distr::Distribution;
+
+/// One way between proxy and box (us).
+const WAY: f64 = 300.0;
+/// What a fill from a parent takes beside the box's own work (us).
+const FILL: f64 = 15_000.0;
+
+impl World<'_> {
+    pub(super) fn tell(&mut self, event: foldmux::interface::Event) {
+        let mut actions = Vec::new();
+        self.router.handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Fetch(fetch) => self.fetch(fetch),
+                Action::Refuse { id, retry_after } => self.answer(id.0, false, Some(retry_after)),
+                Action::Fail { id } => self.answer(id.0, false, None),
+                Action::Timer { after, token } => self.after(after as f64, Event::Timer { token }),
+                _ => {}
+            }
+        }
+    }
+
+    /// The module wants an attempt: by the limits that the core goes by.
+    pub(super) fn fetch(&mut self, mut fetch: Fetch) {
+        let id = fetch.id.0;
+        let draw = self.rng.random_range(0.0..1.0);
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let attempt = open.attempts as u8;
+        let mut pause = Some(0);
+        if let (Some((gate, _)), Some((at, resolved))) = (&mut self.gate, &open.limits) {
+            pause = gate.attempt(at, &resolved.values, open.attempts, draw).map(|ms| ms * 1_000);
+            fetch.time_out = resolved.values.time_out(fetch.time_out);
+        }
+        open.attempts += 1;
+        match pause.filter(|pause| self.now + pause < open.deadline) {
+            Some(pause) => self.after(pause as f64, Event::Send { id, fetch, attempt }),
+            None => self.limited(id, attempt),
+        }
+    }
+
+    /// The limits end it: nothing is sent, and the final answer is given at once.
+    pub(super) fn limited(&mut self, id: u64, attempt: u8) {
+        let report = Told {
+            id: RequestId(id),
+            attempt,
+            outcome: Outcome::NeverSent,
+            note: Note::Untold,
+            elapsed: 0,
+            last: true,
+        };
+        self.tell(foldmux::interface::Event::Outcome(report));
+        // All classes here are free, or keyed within all caches: coming back is harmless.
+        self.answer(id, false, Some(0));
+    }
+
+    pub(super) fn send(&mut self, id: u64, fetch: Fetch, attempt: u8) {
+        let (now, fails, count) = (self.now, self.failing, self.failed_boxes());
+        let Some(open) = self.open.get_mut(&id) else { return };
+        if let (Some(ran), 2) = (open.ran, open.class) {
+            let window = open.limits.as_ref().map_or(2_000_000, |(_, r)| r.values.window_ms * 1_000);
+            if now >= ran + window {
+                // Decided within the window, and paused beyond it: looked at once more, and not sent.
+                return self.limited(id, attempt);
+            }
+        }
+        open.out += 1;
+        // A request's own repeats are the account's rule: what a client does under its key after its answer is not seen.
+        let key = open.key | (open.tries as u64) << 48;
+        let (twice, too_many, class) = (open.out > 1, open.attempts > 8, open.class);
+        if twice {
+            self.broken("two at once");
+        }
+        if too_many {
+            self.broken("too many attempts");
+        }
+        self.attempts += 1;
+        let number = fetch.cache.0 as usize;
+        let second = self.second(now);
+        if number >= self.s.boxes {
+            // A parent or the origin by itself: this day has all at its boxes.
+            return self.after(2.0 * WAY, Event::Ended { id, attempt, outcome: Outcome::Miss, sent: now });
+        }
+        if number >= count {
+            self.load[second] += 1;
+        }
+        let end = |world: &mut World, us: f64, outcome| {
+            let limit = if fetch.time_out > 0 { fetch.time_out as f64 } else { f64::INFINITY };
+            let (us, outcome) = if us > limit { (limit, Outcome::TimedOut) } else { (us, outcome) };
+            world.after(us, Event::Ended { id, attempt, outcome, sent: now });
+        };
+        if number < count && fails {
+            return match self.s.how {
+                How::Refuse => end(self, 2.0 * WAY, Outcome::ConnectFailed),
+                How::Errors => end(self, 2.0 * WAY, Outcome::Error),
+                How::Silence => {
+                    let left = self.open.get(&id).map_or(0, |open| open.deadline.saturating_sub(now));
+                    end(self, left as f64, Outcome::TimedOut)
+                }
+            };
+        }
+        let at = now as f64 + WAY;
+        let slots = &mut self.slots[number];
+        let (slot, free) =
+            slots.iter().copied().enumerate().min_by(|a, b| a.1.total_cmp(&b.1)).expect("a box has slots");
+        let begins = free.max(at);
+        if begins - at > self.s.full_after_ms * 1e3 {
+            return end(self, 2.0 * WAY, Outcome::Full);
+        }
+        let object = self.open.get(&id).map_or(0, |open| open.ask.object.0);
+        let kept = class == 2 || self.held.contains(&(number, object));
+        if !kept && fetch.source == fetch.cache {
+            return end(self, 2.0 * WAY, Outcome::Miss);
+        }
+        if !kept {
+            self.held.insert((number, object));
+        }
+        let fill = if kept { 0.0 } else { FILL };
+        let ends = begins + self.service.sample(&mut self.rng) + fill;
+        self.slots[number][slot] = ends;
+        if class == 2 {
+            // The archive drops repeats for two seconds from the first run.
+            let first = *self.keys.entry(key).or_insert(now);
+            if now >= first + 2_000_000 {
+                self.broken("a key ran twice");
+            }
+        }
+        end(self, ends - now as f64 + WAY, Outcome::Served);
+    }
+
+    pub(super) fn ended(&mut self, id: u64, attempt: u8, outcome: Outcome, sent: Time) {
+        let (now, served) = (self.now, outcome == Outcome::Served);
+        if let Some(open) = self.open.get_mut(&id) {
+            open.out -= 1;
+            if !outcome.never_ran() {
+                open.ran.get_or_insert(sent);
+            }
+            if let (Some((gate, _)), Some((at, _))) = (&mut self.gate, &open.limits) {
+                gate.heard(at, now - sent, served);
+            }
+        }
+        if served {
+            self.answer(id, true, None);
+        }
+        let report = Told {
+            id: RequestId(id),
+            attempt,
+            outcome,
+            note: Note::Untold,
+            elapsed: now - sent,
+            last: served,
+        };
+        self.tell(foldmux::interface::Event::Outcome(report));
+    }
+}
