Read load reports by the settings' names, send probes within bounds, and test the hard cases

Nothing read Srv-Load and no probe was sent. A pure crate reads reports (a bad field costs only itself), keeps them with their age and own sends, fades them to average, and orders a probe only where its answer may change a choice for no more than its price. Upstream finds the report in an answer's head and sends probes (2 at once, 4 waiting, within the dial's time, none to a start that drains, is gone or started anew). Without reports or probes in the settings the path is as it was. The module makes no use of it yet.

--- a/edge/core/src/desk.rs
+++ b/edge/core/src/desk.rs
@@ -2,12 +2,13 @@
 //! bounded channel and hands each action to the request that it is for; it never waits for anything else.
 
 use crate::clock::{span, Clock};
-use crate::members::{Listed, Members};
-pub use crate::orders::{DeskHandle, Notice, Order, Orders, Target, ORDERS};
+use crate::members::{Listed, Members, Start};
+pub use crate::orders::{DeskHandle, Notice, Order, Orders, Probes, Target, ORDERS};
 use crate::slot::Slot;
 use crossbeam_channel::{bounded, Receiver, RecvTimeoutError};
 use foldmux::interface::*;
 use foldmux::Router;
+use foldmux_reports::Beside;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
 use std::sync::Arc;
@@ -34,6 +35,8 @@
     open: HashMap<RequestId, Open>,
     timers: BinaryHeap<Reverse<(Time, u32)>>,
     actions: Vec<Action>,
+    /// What servers report, where the settings have reports or probes, and who sends probes.
+    reports: Option<(Beside, Option<Box<dyn Probes>>)>,
 }
 
 impl Desk {
@@ -48,6 +51,7 @@
             open: HashMap::new(),
             timers: BinaryHeap::new(),
             actions: Vec::new(),
+            reports: None,
         };
         (desk, DeskHandle(sender))
     }
@@ -57,6 +61,11 @@
         self.ended.push(Box::new(hook));
     }
 
+    /// Has reports kept, and probes sent.
+    pub fn report_to(&mut self, beside: Beside, probes: Option<Box<dyn Probes>>) {
+        self.reports = Some((beside, probes));
+    }
+
     /// Runs until every handle is gone.
     pub fn run(mut self) {
         loop {
@@ -114,17 +123,46 @@
                 }
                 self.handle(Event::Members { full, members });
             }
+            Notice::Load { cache, start, load } => {
+                self.hear(cache, start, |b, now| b.heard(now, cache, load))
+            }
+            Notice::Probed { cache, start, well, load } => {
+                self.hear(cache, start, |b, now| b.probed(now, cache, well, load));
+            }
             Notice::Wired { hubs, hub_of } => self.handle(Event::Wired { hubs, hub_of }),
             Notice::Retuned(settings) => self.router.retune(*settings),
             Notice::Purged { object, group, ago } => self.handle(Event::Purged { object, group, ago }),
         }
     }
 
+    /// Guards against word of a process that takes no work any more: it may have crossed a drain or a restart.
+    fn hear(&mut self, cache: CacheId, start: Start, hear: impl FnOnce(&mut Beside, Time)) {
+        let now = self.clock.now();
+        if let Some((beside, _)) = self.reports.as_mut().filter(|_| self.members.allows(cache, start)) {
+            hear(beside, now);
+        }
+    }
+
     fn handle(&mut self, event: Event) {
         let now = self.clock.now();
+        self.reports.iter_mut().for_each(|(beside, _)| beside.event(now, &event));
+        let looks = matches!(event, Event::Timer { .. });
+        self.feed(now, event);
+        let Some((beside, probes)) = self.reports.as_mut().filter(|_| looks) else { return };
+        let (mut events, mut asked) = (Vec::new(), Vec::new());
+        beside.look(now, &mut events, &mut asked);
+        for cache in asked {
+            let to = probes.as_ref().zip(self.members.get(cache));
+            to.into_iter().for_each(|(probes, m)| probes.probe(cache, m.start()));
+        }
+        events.into_iter().for_each(|event| self.feed(now, event));
+    }
+
+    fn feed(&mut self, now: Time, event: Event) {
         let mut actions = std::mem::take(&mut self.actions);
         self.router.handle(now, event, &mut actions);
         for action in actions.drain(..) {
+            self.reports.iter_mut().for_each(|(beside, _)| beside.action(now, &action));
             self.carry_out(now, action);
         }
         self.actions = actions;
@@ -152,8 +190,13 @@
                 }
             }
             Action::Timer { after, token } => self.timers.push(Reverse((now + after, token))),
-            // No probes, no peers, and the list is pushed: the settings of this platform allow none of them.
-            Action::Probe { .. } | Action::TellPeers { .. } | Action::Watch => {}
+            Action::Probe { cache } => {
+                let probes = self.reports.as_ref().and_then(|(_, probes)| probes.as_ref());
+                let to = probes.zip(start(cache));
+                to.into_iter().for_each(|(probes, start)| probes.probe(cache, start));
+            }
+            // No peers, and the list is pushed: the settings of this platform allow neither.
+            Action::TellPeers { .. } | Action::Watch => {}
         }
     }
 
--- a/edge/core/src/lib.rs
+++ b/edge/core/src/lib.rs
@@ -7,8 +7,8 @@
 //! ([`buffers`]), the clock ([`clock`]), the counts ([`tally`]).
 //!
 //! May not: open, read or write a socket, or know how a request came or an attempt is made. Fronts hand it an
-//! [`Inquiry`] and a [`Reply`]; whoever makes attempts implements [`attempt::Tries`]. It depends on the module and the limits'
-//! pure crate alone.
+//! [`Inquiry`] and a [`Reply`]; whoever makes attempts implements [`attempt::Tries`]. It depends on the module and the
+//! pure crates of limits and reports alone.
 
 pub mod attempt;
 pub mod buffers;
--- a/edge/core/src/orders.rs
+++ b/edge/core/src/orders.rs
@@ -4,6 +4,7 @@
 use crate::slot::Slot;
 use crossbeam_channel::Sender;
 use foldmux::interface::*;
+use foldmux_reports::Load;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -33,6 +34,19 @@
     },
     /// Other settings by SIGHUP; their classes keep the places of the old ones.
     Retuned(Box<foldmux::interface::Settings>),
+    /// An answer of this start of a cache carried a report.
+    Load {
+        cache: CacheId,
+        start: Start,
+        load: Load,
+    },
+    /// A probe of this start ended: whether it is well, and its report; empty where it gave none.
+    Probed {
+        cache: CacheId,
+        start: Start,
+        well: bool,
+        load: Load,
+    },
     /// The hierarchy's wiring, as it concerns this proxy.
     Wired {
         hubs: Vec<usize>,
@@ -71,6 +85,12 @@
     }
 }
 
+/// Sends probes, where the settings allow them.
+pub trait Probes: Send {
+    /// Sends one to this start of a member, or not where there is no room; never waits. What it finds is told to the desk.
+    fn probe(&self, cache: CacheId, start: Start);
+}
+
 /// Where a request hears what to do. The desk never waits for it: it has room for [`ORDERS`].
 pub trait Orders: Send {
     fn order(&self, order: Order);
--- a/edge/proxy/src/lib.rs
+++ b/edge/proxy/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Owns: the configuration ([`config`]), the journal service's client ([`journal`]) and how it waits ([`backoff`]),
 //! the journal as it is shared by site ([`relayed`]), the tree in service ([`wiring`]), covered requests ([`cover`]), the log
-//! ([`log`]), start and end ([`server`]), reload ([`reload`]), the fleet in service ([`fleet`]), what `check-config` tells
+//! ([`log`]), start and end ([`server`]), reload ([`reload`]), reports and probes ([`reports`]), the fleet in service ([`fleet`]), what `check-config` tells
 //! ([`check`]). May not: decide for a request, or read one.
 
 pub mod check;
@@ -15,6 +15,7 @@
 pub mod log;
 pub mod relayed;
 pub mod reload;
+pub mod reports;
 pub mod server;
 pub mod turns;
 pub mod wiring;
--- a/edge/proxy/src/server.rs
+++ b/edge/proxy/src/server.rs
@@ -4,10 +4,10 @@
 use crate::config::Config;
 use crate::fleet;
 use crate::journal::{Journal, Names, Service};
-use crate::limits;
 use crate::line::{self, Hand, Sources};
 use crate::reload::{processed, rekey, relimit, reload, rewire, routed, rules, served, tell};
 use crate::wiring::{Live, Zones};
+use crate::{limits, reports};
 use foldmux::interface::{Repeat, Time};
 use foldmux::Router;
 use foldmux_core::buffers::Buffers;
@@ -82,6 +82,7 @@
     let limited = limited.transpose()?;
     let repeats: Vec<Repeat> = decoded.settings.classes.iter().map(|class| class.repeat).collect();
     let own_zone = decoded.zones.get(decoded.settings.zone).cloned().unwrap_or_default();
+    let (told, reported) = (decoded.settings.clone(), decoded.reports);
     let router = Router::new(decoded.settings, config.seed);
     let (mut desk, handle) = Desk::new(router, clock.clone(), members.clone());
     let connections = pool.clone();
@@ -93,7 +94,8 @@
         dial_time_out: span(decoded.dial_time_out),
     };
     let buffers = Buffers::new(bounds.buffers);
-    let (tries, most) = (Box::new(upstream), bounds.open);
+    let tries = reports::start(reported, &told, &mut desk, &handle, upstream)?;
+    let most = bounds.open;
     let core = Core::new(handle.clone(), clock.clone(), buffers, members, tries, shed_wait, cold_for, most);
     // Limits go by the places of the start's classes: no other class may take one.
     let _limited_places = limited.is_some().then(|| taken.clone());
--- a/edge/simhost/src/host.rs
+++ b/edge/simhost/src/host.rs
@@ -1,38 +1,88 @@
 //! Many routers in one process, each fed only its own events.
 
 use crate::wire::{decode, Incoming, Reply};
-use foldmux::interface::{Action, Time};
+use foldmux::interface::{Action, CacheId, Event, Time};
 use foldmux::Router;
+use foldmux_reports::Beside;
 use foldmux_settings as settings;
 use std::collections::BTreeMap;
 
+/// A router, and what its servers report, where the settings have reports or probes.
+struct Instance {
+    router: Router,
+    beside: Option<Beside>,
+}
+
 #[derive(Default)]
 pub struct Host {
-    routers: BTreeMap<u32, Router>,
+    deaf: bool,
+    no_probes: bool,
+    instances: BTreeMap<u32, Instance>,
     actions: Vec<Action>,
 }
 
 impl Host {
+    /// Reports and probes, or probes alone, left aside whatever the settings say: to compare.
+    pub fn new(deaf: bool, no_probes: bool) -> Host {
+        Host { deaf, no_probes, ..Host::default() }
+    }
+
     /// Plays one batch and gives the reply's frame, or one plain line on what is wrong.
     pub fn batch(&mut self, now: Time, body: &[u8], records: u32) -> Result<Vec<u8>, String> {
         let mut reply = Reply::default();
         for (instance, incoming) in decode(body, records).map_err(|e| e.to_string())? {
-            match incoming {
-                Incoming::Start { seed, settings } => {
-                    self.routers.insert(instance, Router::new(settings::parse(&settings)?.settings, seed));
-                }
-                Incoming::Stop => {
-                    self.routers.remove(&instance);
-                }
-                Incoming::Event(event) => {
-                    let Some(router) = self.routers.get_mut(&instance) else { continue };
-                    router.handle(now, event, &mut self.actions);
-                    for action in self.actions.drain(..) {
-                        reply.push(instance, &action);
-                    }
-                }
+            if let Incoming::Start { seed, settings } = &incoming {
+                let mut decoded = settings::parse(settings)?;
+                decoded.reports.probes &= !self.no_probes;
+                let beside = Beside::new(decoded.reports, &decoded.settings).filter(|_| !self.deaf);
+                let router = Router::new(decoded.settings, *seed);
+                self.instances.insert(instance, Instance { router, beside });
+                continue;
+            }
+            if let Incoming::Stop = incoming {
+                self.instances.remove(&instance);
+                continue;
+            }
+            let Some(held) = self.instances.get_mut(&instance) else { continue };
+            held.take(now, incoming, &mut self.actions);
+            for action in self.actions.drain(..) {
+                reply.push(instance, &action);
             }
         }
         Ok(reply.into_frame())
     }
 }
+
+impl Instance {
+    fn take(&mut self, now: Time, incoming: Incoming, out: &mut Vec<Action>) {
+        match incoming {
+            Incoming::Event(event) => self.feed(now, event, out),
+            Incoming::Ended(report, cache, load) => {
+                if !load.is_empty() {
+                    self.beside.iter_mut().for_each(|beside| beside.heard_values(now, cache, &load));
+                }
+                self.feed(now, Event::Outcome(report), out);
+            }
+            Incoming::Probed { cache, ok, elapsed, report } => match &mut self.beside {
+                Some(beside) => beside.probed_values(now, cache, ok, &report),
+                None => self.feed(now, Event::Probed { cache, ok, elapsed, report }, out),
+            },
+            Incoming::Start { .. } | Incoming::Stop => {}
+        }
+    }
+
+    fn feed(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        let Some(beside) = &mut self.beside else { return self.router.handle(now, event, out) };
+        let looks = matches!(event, Event::Timer { .. });
+        beside.event(now, &event);
+        let before = out.len();
+        self.router.handle(now, event, out);
+        out[before..].iter().for_each(|action| beside.action(now, action));
+        if looks {
+            let (mut events, mut probes): (Vec<Event>, Vec<CacheId>) = Default::default();
+            beside.look(now, &mut events, &mut probes);
+            out.extend(probes.into_iter().map(|cache| Action::Probe { cache }));
+            events.into_iter().for_each(|event| self.router.handle(now, event, out));
+        }
+    }
+}
--- a/edge/simhost/src/lib.rs
+++ b/edge/simhost/src/lib.rs
@@ -6,8 +6,12 @@
 use std::io::{self, Read, Write};
 
 /// Plays batches until the input ends; an error is one plain line.
-pub fn run(mut input: impl Read, mut output: impl Write) -> Result<(), String> {
-    let mut host = host::Host::default();
+pub fn run(input: impl Read, output: impl Write) -> Result<(), String> {
+    run_on(host::Host::default(), input, output)
+}
+
+/// The same with a host that was set up before.
+pub fn run_on(mut host: host::Host, mut input: impl Read, mut output: impl Write) -> Result<(), String> {
     let mut head = [0u8; wire::HEADER];
     let mut body = Vec::new();
     loop {
--- a/edge/simhost/src/main.rs
+++ b/edge/simhost/src/main.rs
@@ -1,9 +1,14 @@
+use foldmux_simhost::host::Host;
 use std::io::{self, BufReader, BufWriter};
 use std::process::ExitCode;
 
+/// `--deaf`: load reports and probes are left aside; `--no-probes`: probes alone. Both are there to compare by.
 fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let has = |word: &str| arguments.iter().any(|argument| argument == word);
+    let host = Host::new(has("--deaf"), has("--no-probes"));
     let input = BufReader::with_capacity(1 << 20, io::stdin().lock());
-    match foldmux_simhost::run(input, BufWriter::new(io::stdout().lock())) {
+    match foldmux_simhost::run_on(host, input, BufWriter::new(io::stdout().lock())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
             eprintln!("foldmux-simhost: {}", message.replace('\n', " "));
--- a/edge/simhost/src/wire.rs
+++ b/edge/simhost/src/wire.rs
@@ -1,6 +1,9 @@
 //! The simulator's frames: batches of events in, replies of actions out. Little-endian, no padding.
 
+mod reply;
+
 use foldmux::interface::*;
+pub use reply::Reply;
 use std::fmt;
 
 /// What is wrong with a frame: where, and why.
@@ -24,9 +27,21 @@
 
 #[derive(Debug)]
 pub enum Incoming {
-    Start { seed: u64, settings: String },
+    Start {
+        seed: u64,
+        settings: String,
+    },
     Stop,
     Event(Event),
+    /// The end of an attempt at a cache, with the load report that came along, if one did.
+    Ended(Report, CacheId, Vec<f32>),
+    /// The end of a probe.
+    Probed {
+        cache: CacheId,
+        ok: bool,
+        elapsed: Time,
+        report: Vec<f32>,
+    },
 }
 
 /// The clock, the length of the records and their number. The told length counts the number's own bytes.
@@ -75,6 +90,14 @@
     fn f32(&mut self) -> Result<f32, Malformed> {
         self.array().map(f32::from_le_bytes)
     }
+    fn left(&self) -> usize {
+        self.bytes.len() - self.at
+    }
+    /// A load report: its number of values, and those.
+    fn values(&mut self) -> Result<Vec<f32>, Malformed> {
+        let n = self.u8()?;
+        (0..n).map(|_| self.f32()).collect()
+    }
     fn text(&mut self, n: usize) -> Result<String, Malformed> {
         let bytes = self.take(n)?.to_vec();
         String::from_utf8(bytes).map_err(|_| self.bad("text that is not UTF-8"))
@@ -160,11 +183,12 @@
             let attempt = r.u8()?;
             let how = r.u16()?;
             let note = note(r.u32()?);
-            r.u32()?;
-            match outcome(how) {
-                Some(outcome) => Event::Outcome(Report { id, attempt, outcome, note, elapsed, last }),
-                None => return Err(r.bad(&format!("outcome {how}"))),
-            }
+            let cache = CacheId(r.u32()?);
+            let Some(outcome) = outcome(how) else { return Err(r.bad(&format!("outcome {how}"))) };
+            // The fill's wait and the load report may be left out.
+            let load = if r.left() > 4 { r.u32().and_then(|_| r.values())? } else { Vec::new() };
+            let report = Report { id, attempt, outcome, note, elapsed, last };
+            return Ok(Some((instance, Incoming::Ended(report, cache, load))));
         }
         0 => Event::Started { id: RequestId(r.u64()?) },
         9 => Event::Timer { token: r.u32()? },
@@ -172,9 +196,8 @@
             let ok = r.u16()? == 0;
             let elapsed = r.u32()? as Time;
             let cache = CacheId(r.u32()?);
-            let n = r.u8()?;
-            let report = (0..n).map(|_| r.f32()).collect::<Result<_, _>>()?;
-            Event::Probed { cache, ok, elapsed, report }
+            let report = r.values()?;
+            return Ok(Some((instance, Incoming::Probed { cache, ok, elapsed, report })));
         }
         8 => {
             let from = r.u32()?;
@@ -222,78 +245,3 @@
         _ => Note::Untold,
     }
 }
-
-/// Collects one reply.
-#[derive(Default)]
-pub struct Reply {
-    body: Vec<u8>,
-    records: u32,
-}
-
-impl Reply {
-    pub fn push(&mut self, instance: u32, action: &Action) {
-        let mut fields = instance.to_le_bytes().to_vec();
-        let mut put = |bytes: &[u8]| fields.extend_from_slice(bytes);
-        let code: u8 = match action {
-            Action::Fetch(fetch) => {
-                put(&fetch.id.0.to_le_bytes());
-                put(&fetch.cache.0.to_le_bytes());
-                put(&span(fetch.time_out));
-                put(&fetch.source.0.to_le_bytes());
-                put(&[fetch.keep]);
-                put(&span(fetch.max_age));
-                put(&[fetch.join as u8 + 2 * fetch.hold_only as u8 + 8 * fetch.renew as u8]);
-                76
-            }
-            Action::Refuse { id, retry_after } => {
-                put(&id.0.to_le_bytes());
-                put(&span(*retry_after));
-                65
-            }
-            Action::Fail { id } => {
-                put(&id.0.to_le_bytes());
-                66
-            }
-            Action::Cancel { id, attempt } => {
-                put(&id.0.to_le_bytes());
-                put(&[*attempt]);
-                67
-            }
-            Action::Timer { after, token } => {
-                put(&span(*after));
-                put(&token.to_le_bytes());
-                68
-            }
-            Action::Probe { cache } => {
-                put(&cache.0.to_le_bytes());
-                69
-            }
-            Action::TellPeers { message } => {
-                put(&u16::MAX.to_le_bytes());
-                put(&u16::try_from(message.len()).unwrap_or(u16::MAX).to_le_bytes());
-                put(&message[..message.len().min(u16::MAX as usize)]);
-                71
-            }
-            Action::Watch => {
-                put(&[1]);
-                74
-            }
-        };
-        self.body.push(code);
-        self.body.extend_from_slice(&u32::try_from(fields.len()).unwrap_or(u32::MAX).to_le_bytes());
-        self.body.extend_from_slice(&fields);
-        self.records += 1;
-    }
-
-    pub fn into_frame(self) -> Vec<u8> {
-        let mut frame = self.records.to_le_bytes().to_vec();
-        frame.extend_from_slice(&u32::try_from(self.body.len()).unwrap_or(u32::MAX).to_le_bytes());
-        frame.extend_from_slice(&self.body);
-        frame
-    }
-}
-
-/// The wire's spans are 32 bits of microseconds.
-fn span(time: Time) -> [u8; 4] {
-    u32::try_from(time).unwrap_or(u32::MAX).to_le_bytes()
-}
--- a/edge/simhost/tests/wire.rs
+++ b/edge/simhost/tests/wire.rs
@@ -153,3 +153,30 @@
     let odd = FACTS.replace("\"free\"", "\"sometimes\"");
     assert!(settings::parse(&odd).unwrap_err().contains("idempotency"));
 }
+
+/// The end of an attempt with a load report of these values behind it.
+fn reported(i: u32, id: u64, how: u16, values: &[f32]) -> Vec<u8> {
+    let head = [&i.to_le_bytes()[..], &id.to_le_bytes(), &[1], &50_000u32.to_le_bytes(), &[0]].concat();
+    let values: Vec<u8> = values.iter().flat_map(|v| v.to_le_bytes()).collect();
+    let n = [(values.len() / 4) as u8];
+    record(1, &[&head, &how.to_le_bytes(), &0u32.to_le_bytes(), &7u32.to_le_bytes(), &[0; 4], &n, &values])
+}
+
+#[test]
+fn an_outcome_is_taken_with_a_report_without_one_and_with_values_of_no_use() {
+    let silent = record(1, &[&resolved(1, 5, 0, 1)[5..30], &7u32.to_le_bytes()]);
+    let some = [f32::NAN, f32::INFINITY, -1.0, 0.5];
+    for end in [silent, resolved(1, 5, 0, 1), reported(1, 5, 0, &some), reported(1, 5, 0, &[0.5; 200])] {
+        let input = [
+            batch(1000, &[start(1), list(1)]),
+            batch(3000, &[request(1, 5)]),
+            batch(60_000, &[end, request(1, 6)]),
+        ];
+        let replies = play(&input.concat()).unwrap();
+        assert_eq!(replies[2].iter().map(|r| r.0).collect::<Vec<_>>(), [76], "the next is sent");
+    }
+    // A report that is cut off is a frame that is cut off.
+    let cut = reported(1, 5, 0, &[0.5]);
+    let cut = record(1, &[&cut[5..cut.len() - 1]]);
+    assert!(play(&batch(1000, &[start(1), cut])).unwrap_err().contains("record 1"));
+}
--- a/edge/upstream/src/lib.rs
+++ b/edge/upstream/src/lib.rs
@@ -1,17 +1,19 @@
 //! One attempt at a pop cache, a parent or the origin, over HTTP/1.1 with one request at a time.
 //!
-//! Owns: the connections to them ([`pool`]), and what an answer proves. May not: choose a cache, repeat an attempt, or
+//! Owns: the connections to them ([`pool`]), what an answer proves and reports, and the probes ([`probe`]). May not: choose a cache, repeat an attempt, or
 //! hold anything of a request once its attempt has returned. It implements the core's [`Tries`].
 
 pub mod pool;
+pub mod probe;
 
-use foldmux::interface::{bound_ms, Outcome};
+use foldmux::interface::{bound_ms, CacheId, Outcome};
 use foldmux_core::attempt::{Attempt, Got, Line, Tries};
 use foldmux_core::clock::{span, Clock};
-use foldmux_core::members::Members;
+use foldmux_core::members::{Members, Start};
 use foldmux_core::request::Inquiry;
 use foldmux_http1::io::write_all;
 use foldmux_http1::{read_response, Broken, Response};
+use foldmux_reports::{Fields, Load};
 use pool::Pool;
 use std::fmt::Write as _;
 use std::net::{Shutdown, TcpStream};
@@ -25,6 +27,13 @@
     pub dial_time_out: Duration,
 }
 
+/// The same where answers carry reports: their fields, and who hears them.
+pub struct Reporting {
+    pub upstream: Upstream,
+    pub fields: Fields,
+    pub hears: Box<dyn Fn(CacheId, Start, Load) + Send + Sync>,
+}
+
 /// A connection that an attempt is on: shut, its reader wakes.
 struct Held(Arc<TcpStream>);
 
@@ -37,7 +46,25 @@
 impl Tries for Upstream {
     /// Makes the attempt and says how it ended; whatever it held is given back when this returns.
     fn attempt(&self, attempt: &Attempt, buffer: &mut [u8]) -> (Outcome, Option<Got>) {
-        let (outcome, got) = self.make(attempt, buffer);
+        self.ended(attempt, buffer, &|_, _, _| ())
+    }
+}
+
+impl Tries for Reporting {
+    /// Whatever stands in the report, the answer is what it is.
+    fn attempt(&self, attempt: &Attempt, buffer: &mut [u8]) -> (Outcome, Option<Got>) {
+        self.upstream.ended(attempt, buffer, &|cache, start, load| {
+            (self.hears)(cache, start, self.fields.read(load));
+        })
+    }
+}
+
+/// Hears what a start of a cache reported, as it stands in the answer.
+type Hears<'a> = &'a dyn Fn(CacheId, Start, &[u8]);
+
+impl Upstream {
+    fn ended(&self, attempt: &Attempt, buffer: &mut [u8], hears: Hears) -> (Outcome, Option<Got>) {
+        let (outcome, got) = self.make(attempt, buffer, hears);
         attempt.slot.release();
         if got.is_none() && attempt.slot.off(attempt.target.attempt) {
             // Called off: what the shut socket gave is no news of the cache.
@@ -45,10 +72,8 @@
         }
         (outcome, got)
     }
-}
 
-impl Upstream {
-    fn make(&self, attempt: &Attempt, buffer: &mut [u8]) -> (Outcome, Option<Got>) {
+    fn make(&self, attempt: &Attempt, buffer: &mut [u8], hears: Hears) -> (Outcome, Option<Got>) {
         let Attempt { inquiry, slot, fetch, target, .. } = attempt;
         let until = match fetch.time_out {
             0 => attempt.deadline,
@@ -86,6 +111,8 @@
         slot.release();
         match response {
             Ok(response) => {
+                let load = response.load.clone();
+                load.into_iter().for_each(|at| hears(cache.member.cache, start, &buffer[at]));
                 loan.reusable = response.reusable;
                 judge(response, inquiry.got.is_some())
             }
@@ -175,8 +202,9 @@
 
     #[test]
     fn never_ran_is_exact() {
-        let end =
-            |status, untouched, got| judge(Response { status, body: 1..2, reusable: true, untouched }, got).0;
+        let end = |status, untouched, got| {
+            judge(Response { status, body: 1..2, reusable: true, untouched, load: None }, got).0
+        };
         assert_eq!(end(200, false, false), Outcome::Served);
         assert_eq!((end(304, false, true), end(304, false, false)), (Outcome::Served, Outcome::Error));
         assert_eq!((end(404, false, false), end(500, true, false)), (Outcome::Miss, Outcome::Error));
--- a/shared/http1/src/answer.rs
+++ b/shared/http1/src/answer.rs
@@ -18,6 +18,8 @@
     pub reusable: bool,
     /// `Srv-Untouched: 1`.
     pub untouched: bool,
+    /// Where the value of `Srv-Load` stands in the buffer; of two such fields neither counts.
+    pub load: Option<Range<usize>>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -139,6 +141,7 @@
     };
     let mut reusable = head.version == Some(1);
     let (mut untouched, mut length) = (false, None);
+    let (mut load, mut doubled) = (None, false);
     for header in head.headers.iter() {
         let value = header.value.trim_ascii();
         if header.name.eq_ignore_ascii_case("content-length") {
@@ -155,6 +158,11 @@
             reusable &= !value.split(|b| *b == b',').any(|w| w.trim_ascii().eq_ignore_ascii_case(b"close"));
         } else if header.name.eq_ignore_ascii_case("srv-untouched") {
             untouched = value == b"1";
+        } else if header.name.eq_ignore_ascii_case("srv-load") {
+            // It is a part of the head, which stays where it is while the rest is read.
+            let at = value.as_ptr() as usize - bytes.as_ptr() as usize;
+            (doubled, load) = (load.is_some(), Some(at..at + value.len()));
+            field(header.name, value);
         } else {
             field(header.name, value);
         }
@@ -163,7 +171,8 @@
         204 | 304 => Length::Known(0),
         _ => length.ok_or(Broken::Unreadable)?,
     };
-    Ok(Some(Head::Final(Response { status, body: start..start, reusable, untouched }, length)))
+    let load = load.filter(|_| !doubled);
+    Ok(Some(Head::Final(Response { status, body: start..start, reusable, untouched, load }, length)))
 }
 
 fn read_more(
--- a/shared/http1/src/answer/tests.rs
+++ b/shared/http1/src/answer/tests.rs
@@ -61,3 +61,38 @@
         assert_eq!(read(head, rest), Err(Broken::Unreadable), "{head}");
     }
 }
+
+/// The report of an answer, as it stands in the buffer once all is read.
+fn load(bytes: &[u8]) -> Option<Vec<u8>> {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut far = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+    far.write_all(bytes).unwrap();
+    far.shutdown(Shutdown::Write).unwrap();
+    let mut buffer = vec![0; 64 * 1024];
+    let deadline = Instant::now() + Duration::from_secs(30);
+    let response = read_response(&listener.accept().unwrap().0, &mut buffer, deadline).unwrap();
+    assert_eq!(&buffer[response.body], b"ok", "the answer is whole whatever it reports");
+    response.load.map(|at| buffer[at].to_vec())
+}
+
+#[test]
+fn a_load_report_is_found_where_it_stands_and_costs_no_answer() {
+    let with =
+        |fields: &str| load(format!("HTTP/1.1 200 OK\r\n{fields}Content-Length: 2\r\n\r\nok").as_bytes());
+    assert_eq!(with(""), None);
+    assert_eq!(with("srv-load:  util:0.6;x1:2 \r\n").unwrap(), b"util:0.6;x1:2");
+    assert_eq!(with("Srv-Load:\r\n").unwrap(), b"");
+    assert_eq!(
+        with("Srv-Load: \u{e9};;;:::\r\n").map(|l| l.len()),
+        Some(8),
+        "any bytes that a field may hold"
+    );
+    assert_eq!(with(&format!("Srv-Load: {}\r\n", "x".repeat(12_000))).unwrap().len(), 12_000);
+    // Two of them contradict each other, three no less.
+    let twice = "Srv-Load: util:0.1\r\nSrv-Load: util:0.9\r\n";
+    assert_eq!((with(twice), with(&format!("{twice}SRV-LOAD: util:0.5\r\n"))), (None, None));
+    // Behind interim answers, and with a body that is put together in place.
+    let interim = "HTTP/1.1 100 Continue\r\nSrv-Load: util:1\r\n\r\n".repeat(3);
+    let chunked = "HTTP/1.1 200 OK\r\nSrv-Load: util:0.2\r\nTransfer-Encoding: chunked\r\n\r\n1\r\no\r\n1\r\nk\r\n0\r\n\r\n";
+    assert_eq!(load((interim + chunked).as_bytes()).unwrap(), b"util:0.2");
+}
--- a/shared/settings/src/lib.rs
+++ b/shared/settings/src/lib.rs
@@ -1,10 +1,14 @@
 //! The operator's settings, as the simulator's first message and a proxy's configuration carry them: JSON,
 //! decoded once into the few values that are used. Unknown keys are skipped.
 
+use facts::{ClassFacts, Domain, Limits, Rules};
 use foldmux::interface::*;
+use reports::{Charges, Report};
 use serde::Deserialize;
 use tenants::Project;
 
+mod facts;
+mod reports;
 mod tenants;
 
 /// The settings object as it is written; [`Facts::decode`] makes it what the program uses.
@@ -28,98 +32,10 @@
     membership_mode: String,
     #[serde(default)]
     projects: Vec<Project>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct ClassFacts {
-    #[serde(default)]
-    name: String,
-    slo: Time,
-    hard_limit: Time,
-    #[serde(default)]
-    aim_stretch: f64,
-    #[serde(default)]
-    importance: f64,
-    #[serde(default)]
-    late_value: f64,
-    idempotency: String,
-    #[serde(default)]
-    group: String,
-    #[serde(default)]
-    repeat_window: Time,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Limits {
-    max_attempts: u32,
-    #[serde(default = "dial_time_out")]
-    dial_timeout: Time,
-    #[serde(default = "keep_alive")]
-    keepalive: Time,
-    #[serde(default)]
-    cancel: bool,
-    #[serde(default)]
-    may_duplicate: bool,
-    #[serde(default)]
-    peers: bool,
-    #[serde(default)]
-    probes: bool,
-    #[serde(default)]
-    retry_after: bool,
-    #[serde(default)]
-    max_retry_after: Time,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Rules {
-    answer_slack: Time,
-    stop_sending_within: Time,
-    cold_from: f64,
-    ramp_time: Time,
-    fall: Time,
-    fall_multiple: f64,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct Domain {
-    origin_kind: usize,
-    mid_kind: i64,
-    #[serde(default)]
-    hub_of: Vec<usize>,
-    #[serde(default)]
-    instances_by_zone: Vec<u32>,
-    #[serde(default)]
-    lifetime_by_class: Vec<Time>,
-    #[serde(default)]
-    grace_for: Vec<Time>,
-    #[serde(default)]
-    pass_on: Vec<bool>,
-    #[serde(default)]
-    siblings: String,
-    #[serde(default)]
-    notes_given: String,
     #[serde(default)]
-    can_join: bool,
+    report: Report,
     #[serde(default)]
-    direct: bool,
-    #[serde(default)]
-    client_kb_per_s: f64,
-    #[serde(default)]
-    parent_floor: f64,
-    #[serde(default)]
-    parent_cold: Time,
-    #[serde(default)]
-    parent_breaks_at: f64,
-    #[serde(default)]
-    purge_slack: Time,
-    #[serde(default)]
-    purge_done: Time,
-    #[serde(default)]
-    root_fall_multiple: f64,
+    charges: Charges,
 }
 
 /// What a host with sockets of its own needs beside the router's settings.
@@ -133,14 +49,7 @@
     pub tenants: Vec<(String, f64)>,
     pub dial_time_out: Time,
     pub keep_alive: Time,
-}
-
-fn dial_time_out() -> Time {
-    400_000
-}
-
-fn keep_alive() -> Time {
-    15_000_000
+    pub reports: foldmux_reports::Setup,
 }
 
 /// The settings, or what is wrong with the text (serde's message names the key).
@@ -151,7 +60,7 @@
 
 impl Facts {
     pub fn decode(self) -> Result<Decoded, String> {
-        let Facts { limits, rules, domain, dcs, kinds, .. } = self;
+        let Facts { limits, rules, domain, dcs, kinds, report, charges, .. } = self;
         if limits.max_attempts == 0 {
             return Err("settings: limits.maxAttempts is not above 0".to_string());
         }
@@ -187,6 +96,7 @@
                 pass_on: domain.pass_on.get(k).copied().unwrap_or_default(),
             });
         }
+        let reports = report.setup(limits.probes, &charges, &classes, limits.dial_timeout);
         let settings = Settings {
             index: self.index,
             routers: self.balancers,
@@ -232,6 +142,7 @@
         };
         Ok(Decoded {
             settings,
+            reports,
             classes: self.classes.into_iter().map(|c| c.name).collect(),
             zones: dcs,
             kinds,
--- a/shared/settings/src/tests.rs
+++ b/shared/settings/src/tests.rs
@@ -57,3 +57,26 @@
     assert_eq!(parse(&told).unwrap().tenants, [("mill".to_string(), 0.25), ("shop".to_string(), 1.0)]);
     assert_eq!(parse(LEAST).unwrap().tenants, []);
 }
+
+#[test]
+fn reports_and_probes_are_read_where_they_are_told_and_absent_where_not() {
+    let none = parse(LEAST).unwrap().reports;
+    assert!(!none.is_wanted() && none.fields.is_empty() && none.price == 0.0);
+    let with = |report: &str, probes: bool| {
+        let more = format!(r#""index":1,"report":{report},"charges":{{"probe":0.01,"moon":[]}},"#);
+        let limits = format!(r#""probes":{probes},"maxAttempts":6"#);
+        let text = LEAST.replace(r#""index":1,"#, &more).replace(r#""maxAttempts":6"#, &limits);
+        parse(&text).unwrap().reports
+    };
+    let both = with(r#"{"how":"answers","names":["util","x1"],"since":3}"#, true);
+    assert_eq!((both.fields.len(), both.in_answers, both.probes, both.price), (2, true, true, 0.01));
+    assert_eq!((both.least_aim, both.patience), (300_000, 400_000), "in the settings' own times");
+    let asked = with(r#"{"how":"probe","names":["util"]}"#, true);
+    assert_eq!((asked.fields.len(), asked.in_answers), (1, false));
+    for silent in [r#"{"how":"none","names":["util"]}"#, r#"{"how":"by post","names":["util"]}"#, "{}"] {
+        let none = with(silent, false);
+        assert!(!none.is_wanted() && none.fields.is_empty(), "{silent}");
+    }
+    let odd = LEAST.replace(r#""index":1,"#, r#""index":1,"report":{"names":"util"},"#);
+    assert!(parse(&odd).is_err());
+}
--- a/tests/deployments.rs
+++ b/tests/deployments.rs
@@ -103,3 +103,136 @@
     }
     assert_eq!(refused, 0, "nothing is turned away for being beside a large one");
 }
+
+#[test]
+fn a_copy_at_the_edge_of_fresh_plus_grace_is_asked_for_and_its_miss_is_no_end() {
+    let mut front = Front::new(stale_pages(), members_of(4, 3, 0));
+    for k in 0..20 {
+        front.serve(k, Note::Untold);
+    }
+    // Fills are late, so that few may be out: older copies will do, to the very edge and not beyond.
+    for first in (100..160).flat_map(|k| fetches(&front.request(0, k).1)).collect::<Vec<_>>() {
+        let fills = match first.source.0 {
+            40 => vec![(first, 0)],
+            // The sibling that was asked first has none.
+            _ => fetches(&front.outcome(&first, 0, Outcome::Miss, Note::Untold))
+                .into_iter()
+                .map(|f| (f, 1))
+                .collect(),
+        };
+        for (fill, attempt) in fills {
+            front.outcome_after(&fill, attempt, Outcome::TimedOut, Note::Untold, 800 * MS);
+        }
+    }
+    front.now += 2 * SECOND;
+    let (edge, mut asked) = (42 * SECOND, 0);
+    for k in 0..20 {
+        let (_, actions) = front.request(0, k);
+        for fetch in fetches(&actions) {
+            assert!(fetch.max_age <= edge, "{} us", fetch.max_age);
+            asked += (fetch.max_age == edge) as u32;
+            // By the cache's clock it is 1 ms too old: a miss never ran, and the request goes on or is refused.
+            let next = front.outcome(&fetch, 0, Outcome::Miss, Note::Untold);
+            let refused = matches!(next[..], [Action::Refuse { .. }]);
+            assert!(refused || fetches(&next).len() == 1, "{next:?}");
+            assert!(fetches(&next).iter().all(|f| f.max_age <= edge));
+        }
+    }
+    assert!(asked > 0, "copies past their fresh time are asked for");
+    // With a purge since, the edge is the purge's.
+    front.event(Event::Purged { object: None, group: 5, ago: 100 * MS });
+    front.now += 10 * MS;
+    for fetch in (0..20).flat_map(|k| fetches(&front.request(0, k).1)) {
+        assert!((1..=110 * MS).contains(&fetch.max_age), "{} us", fetch.max_age);
+    }
+}
+
+/// What is out at a small world of caches that hold what was filled, and an origin of some latency.
+struct World {
+    front: Front,
+    held: std::collections::HashSet<(u32, u64)>,
+    out: Vec<(Time, Fetch, u8, Outcome)>,
+    objects: std::collections::HashMap<RequestId, u64>,
+}
+
+impl World {
+    /// Asks for an object, and plays what is due until the next 20 ms; how the requests that ended meanwhile went.
+    fn step(&mut self, object: u64, origin: Time) -> Vec<(u64, bool)> {
+        let mut ended = Vec::new();
+        let (id, actions) = self.front.request(0, object);
+        self.objects.insert(id, object);
+        self.carry_out(&actions, 0, origin, &mut ended);
+        let until = self.front.now + 20 * MS;
+        while let Some(at) =
+            (0..self.out.len()).min_by_key(|&k| self.out[k].0).filter(|&k| self.out[k].0 <= until)
+        {
+            let (due, fetch, attempt, outcome) = self.out.swap_remove(at);
+            self.front.now = self.front.now.max(due);
+            let object = self.objects[&fetch.id];
+            let took = if fetch.source.0 == 40 && outcome == Outcome::Served { origin } else { 60 * MS };
+            let next = self.front.outcome_after(&fetch, attempt, outcome, Note::Untold, took);
+            match outcome {
+                Outcome::Served => {
+                    self.held.insert((fetch.cache.0, object));
+                    ended.push((object, true));
+                }
+                _ => self.carry_out(&next, attempt + 1, origin, &mut ended),
+            }
+        }
+        self.front.now = until;
+        self.front.event(Event::Timer { token: 1 });
+        ended
+    }
+
+    fn carry_out(&mut self, actions: &[Action], attempt: u8, origin: Time, ended: &mut Vec<(u64, bool)>) {
+        for action in actions {
+            match action {
+                Action::Fetch(fetch) => {
+                    let held = self.held.contains(&(fetch.cache.0, self.objects[&fetch.id]));
+                    let (took, how) = match (held, fetch.source.0) {
+                        (true, _) => (60 * MS, Outcome::Served),
+                        (_, 40) => (origin, Outcome::Served),
+                        _ => (10 * MS, Outcome::Miss),
+                    };
+                    let out_of_time = fetch.time_out > 0 && took > fetch.time_out;
+                    let how = if out_of_time { Outcome::TimedOut } else { how };
+                    let took = if out_of_time { fetch.time_out } else { took };
+                    self.out.push((self.front.now + took, fetch.clone(), attempt, how));
+                }
+                Action::Refuse { id, .. } | Action::Fail { id } => ended.push((self.objects[id], false)),
+                _ => {}
+            }
+        }
+    }
+}
+
+#[test]
+fn with_the_origin_five_times_slower_and_no_parent_what_is_held_is_served_and_the_rest_does_not_pile_up() {
+    let front = Front::new(stale_pages(), members_of(4, 3, 0));
+    let mut world = World { front, held: Default::default(), out: Vec::new(), objects: Default::default() };
+    let mut new = 1_000_000;
+    // Two of three ask for one of 60 objects, the third for a new one.
+    let mut spell = |world: &mut World, steps: u64, origin: Time| {
+        let (mut hot, mut cold, mut most) = ([0; 2], [0; 2], 0);
+        for k in 0..steps {
+            new += (k % 3 == 0) as u64;
+            let object = if k % 3 == 0 { new } else { k * 7 % 60 };
+            for (object, served) in world.step(object, origin) {
+                let count = if object < 60 { &mut hot } else { &mut cold };
+                count[served as usize] += 1;
+            }
+            most = most.max(world.out.iter().filter(|o| o.1.source.0 == 40 && o.3 != Outcome::Miss).count());
+        }
+        let part = |[not, served]: [u64; 2]| served as f64 / (not + served).max(1) as f64;
+        (part(hot), part(cold), most)
+    };
+    let before = spell(&mut world, 1_000, 150 * MS);
+    let slow = spell(&mut world, 900, 5 * 150 * MS);
+    let after = spell(&mut world, 1_000, 150 * MS);
+    println!(
+        "served of what is held, of what is new, most fills out: {before:?}, slow {slow:?}, after {after:?}"
+    );
+    assert!(before.0 > 0.95 && before.1 > 0.9, "{before:?}");
+    assert!(slow.0 > 0.9, "what is held is served on: {slow:?}");
+    assert!(after.1 > 0.5, "and fills come back with the origin: {after:?}");
+}
