Hold two maintenance calls at one moment, keep a start's time over repeated lists, spread polls

Of two maint calls at the two processes of an upgrade within 50 ms the last write won: each wrote the set that it had. A line's stamp became a time by two clocks read one after the other, so that a list told again made starts anew of all its members: figures void, connections closed. Polls ask to be held for 0.8 to 1 s by a draw of each proxy, as an event answers all at one moment; a proxy told no seed takes one of its name.

--- a/edge/proxy/src/config.rs
+++ b/edge/proxy/src/config.rs
@@ -88,6 +88,11 @@
     Ok(config)
 }
 
+/// A seed for a proxy that is told none: its own by name and address.
+fn unlike(name: &str, listen: SocketAddr) -> u64 {
+    format!("{name} {listen}").bytes().fold(0, |seed, byte| foldmux_figures::mix(seed ^ byte as u64))
+}
+
 /// The configuration, or one plain line on what is wrong with it.
 pub fn parse(mut bytes: Vec<u8>) -> Result<Config, String> {
     let document: Document =
@@ -97,7 +102,8 @@
         return Err("configuration: limits are under 64 sockets or 16 MB: too few to serve".to_string());
     }
     let seed = match document.seed.as_str() {
-        "" => 0,
+        // Where none is told: proxies must not draw alike.
+        "" => unlike(&document.name, document.listen),
         text => u64::from_str_radix(text, 16)
             .map_err(|_| format!("configuration: seed {text:?} is not hexadecimal"))?,
     };
--- a/edge/proxy/src/journal.rs
+++ b/edge/proxy/src/journal.rs
@@ -2,6 +2,7 @@
 //! garbled is asked for again, and never makes the list shorter.
 
 use crate::backoff::Backoff;
+use boots::Boots;
 use foldmux::interface::{Member, ObjectId, State};
 use foldmux_core::clock::Clock;
 use foldmux_core::desk::{DeskHandle, Notice};
@@ -19,10 +20,11 @@
 pub use foldmux_feed::words::{Entry, Feed};
 pub use service::Service;
 
+mod boots;
 mod service;
 
-/// Asked for: short, so that a connection that went silent is noticed well within the 7 s after which all
-/// events count as told.
+/// Asked for at the longest: short, so that a connection that went silent is noticed well within the 7 s after which all
+/// events count as told. Each poll asks for a part of its own.
 const MAX_WAIT: Duration = Duration::from_millis(1_000);
 /// Beyond the wait, until an answer counts as lost.
 const PATIENCE: Duration = Duration::from_millis(700);
@@ -48,6 +50,7 @@
     pub hand: Option<Arc<crate::line::Hand>>,
     /// Where this process shares what it reads with others of its site, and is told what they read.
     shared: Option<Shared>,
+    boots: Boots,
     pos: u64,
 }
 
@@ -66,7 +69,8 @@
         pool: Arc<Pool>,
         listed: Arc<AtomicBool>,
     ) -> Journal {
-        Journal { names, clock, desk, pool, listed, hand: None, shared: None, pos: 0 }
+        let (hand, shared, boots) = (None, None, Boots::default());
+        Journal { names, clock, desk, pool, listed, hand, shared, boots, pos: 0 }
     }
 
     /// Takes the events that follow on those already taken. Guards against gaps: where one is missing, nothing
@@ -129,7 +133,8 @@
     fn notices(&self, entry: &Entry) -> Vec<Notice> {
         let mut notices = Vec::new();
         if let Some(hosts) = &entry.hosts {
-            let listed = hosts.endpoints.iter().filter_map(|e| self.listed_line(e)).collect();
+            let listed: Vec<Listed> = hosts.endpoints.iter().filter_map(|e| self.listed_line(e)).collect();
+            self.boots.retain(hosts.snapshot, &listed);
             notices.push(Notice::Members { full: hosts.snapshot, listed });
         }
         if let Some(Expire { name, set, stamp }) = &entry.expire {
@@ -165,7 +170,8 @@
             tracing::warn!("journal service: {} has an unknown zone or type, or no address", line.name);
             return None;
         };
-        let (cache, boot) = (cache_id(&line.name), self.clock.of_unix_ms(line.since_ms));
+        let cache = cache_id(&line.name);
+        let boot = self.boots.of(cache, line.since_ms, || self.clock.of_unix_ms(line.since_ms));
         let member = Member { cache, zone, kind, cell: line.group, state, weight: line.weight, boot };
         Some(Listed { member, name: line.name.as_str().into(), address })
     }
@@ -177,7 +183,7 @@
         loop {
             // One that was not read for a while is asked for what there is.
             let at_once = shared.as_ref().is_some_and(|desk| desk.gate.pass());
-            let wait = if at_once { Duration::ZERO } else { MAX_WAIT };
+            let wait = if at_once { Duration::ZERO } else { backoff.hold(MAX_WAIT) };
             let (address, moves) = service.current();
             match self.poll(service, (address, moves), wait, &mut buffer) {
                 Ok(()) => {
--- a/edge/proxy/src/line.rs
+++ b/edge/proxy/src/line.rs
@@ -5,22 +5,22 @@
 //! of figures that are read where they are counted, so that it is owed to nothing else; what is beyond its places
 //! is told so at once and closed.
 
-use foldmux::interface::State;
-use foldmux_core::desk::{DeskHandle, Notice};
-use foldmux_core::members::Listed;
 use foldmux_core::Core;
 use foldmux_fronts::listen::{named, pause};
 use foldmux_operations::call::{Call, Lines};
-use foldmux_operations::maintenance::{Maintenance, Refused};
+use foldmux_operations::maintenance::Refused;
 use foldmux_operations::stats::{ClassFigures, Figures};
-use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
+pub use hand::Hand;
+
+mod hand;
+mod kept;
+
 /// Connections of the operator line at once.
 pub const PLACES: usize = 64;
 const STACK: usize = 64 * 1024;
@@ -31,121 +31,6 @@
 /// A write that the caller does not read for this long ends the connection.
 const WRITE_FOR: Duration = Duration::from_millis(500);
 
-/// The pop caches out by hand, and the last line of each as the journal service told it. One lock over both and
-/// over telling the desk, so that what the journal says and what the operator says reach the desk in one order.
-pub struct Hand {
-    held: Mutex<Held>,
-    desk: DeskHandle,
-    /// Where the set is kept: `$TMPDIR`, shared with a new version started beside this one.
-    file: Option<PathBuf>,
-}
-
-struct Held {
-    out: Maintenance,
-    told: HashMap<Arc<str>, Listed>,
-}
-
-impl Hand {
-    /// With what an earlier process of this place kept, where there is a file.
-    pub fn new(desk: DeskHandle, file: Option<PathBuf>) -> Hand {
-        let kept = file.as_ref().and_then(|file| std::fs::read_to_string(file).ok());
-        let out = kept.as_deref().map(Maintenance::parse).unwrap_or_default();
-        if !out.is_empty() {
-            tracing::info!("maintenance: {} pop caches out by hand, as kept", out.len());
-        }
-        Hand { held: Mutex::new(Held { out, told: HashMap::new() }), desk, file }
-    }
-
-    fn held(&self) -> MutexGuard<'_, Held> {
-        self.held.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Tells the desk what the journal service listed, with those out by hand as draining.
-    pub fn members(&self, full: bool, listed: Vec<Listed>) {
-        let mut held = self.held();
-        if full {
-            held.told.clear();
-        }
-        let mut told = Vec::with_capacity(listed.len());
-        for line in listed {
-            match line.member.state {
-                State::Gone => held.told.remove(&line.name),
-                _ => held.told.insert(line.name.clone(), line.clone()),
-            };
-            told.push(out_by_hand(&held.out, line));
-        }
-        self.desk.tell(Notice::Members { full, listed: told });
-    }
-
-    /// `maint-on` and `maint-off`: `Ok(true)` where the set changed.
-    pub fn set(&self, id: &str, out: bool) -> Result<bool, Refused> {
-        let mut held = self.held();
-        let known = held.told.contains_key(id);
-        let changed = match out {
-            true => held.out.on(id, known)?,
-            false => held.out.off(id, known)?,
-        };
-        if changed {
-            self.keep(&held.out);
-            if let Some(line) = held.told.get(id).cloned() {
-                let line = out_by_hand(&held.out, line);
-                self.desk.tell(Notice::Members { full: false, listed: vec![line] });
-            }
-        }
-        Ok(changed)
-    }
-
-    /// The pop caches out by hand, as they are now.
-    pub fn out(&self) -> Maintenance {
-        self.held().out.clone()
-    }
-
-    /// Takes what another process of this place (a version beside this one) wrote, where it differs: both count
-    /// as one edge proxy, and a pop cache that one of them takes out is out for both.
-    pub fn sync(&self) {
-        let Some(file) = &self.file else { return };
-        let Ok(text) = std::fs::read_to_string(file) else { return };
-        let kept = Maintenance::parse(&text);
-        let mut held = self.held();
-        if kept == held.out {
-            return;
-        }
-        let changed: Vec<Listed> = held
-            .told
-            .values()
-            .filter(|line| kept.holds(&line.name) != held.out.holds(&line.name))
-            .map(|line| out_by_hand(&kept, line.clone()))
-            .collect();
-        held.out = kept;
-        if !changed.is_empty() {
-            tracing::info!(
-                "maintenance: {} pop caches changed by the process beside this one",
-                changed.len()
-            );
-            self.desk.tell(Notice::Members { full: false, listed: changed });
-        }
-    }
-
-    /// Whether the set is shared with another process through a file.
-    pub fn shared(&self) -> bool {
-        self.file.is_some()
-    }
-
-    fn keep(&self, out: &Maintenance) {
-        let Some(file) = &self.file else { return };
-        let fresh = file.with_extension("new");
-        let kept = std::fs::write(&fresh, out.render()).and_then(|()| std::fs::rename(&fresh, file));
-        kept.err().iter().for_each(|e| tracing::warn!("maintenance: not kept in {}: {e}", file.display()));
-    }
-}
-
-fn out_by_hand(out: &Maintenance, mut line: Listed) -> Listed {
-    if line.member.state == State::Ready && out.holds(&line.name) {
-        line.member.state = State::Draining;
-    }
-    line
-}
-
 /// What the line reads its figures from.
 pub struct Sources {
     pub core: Arc<Core>,
--- a/edge/proxy/src/server.rs
+++ b/edge/proxy/src/server.rs
@@ -123,7 +123,7 @@
     let mut live = tree.map(|h| Live::start(h, zones, clock.clone(), handle.clone())).transpose()?;
     let listener = shared(config.listen).map_err(|e| format!("listening on {}: {e}", config.listen))?;
     let on = listener.local_addr().map_err(|e| e.to_string())?;
-    let mut journal = Journal::new(names, clock, handle.clone(), pool, listed.clone());
+    let mut journal = Journal::new(names, clock, handle.clone(), pool.clone(), listed.clone());
     // Kept where the platform gives this place a folder of its own, which a new version beside this one shares.
     let kept = std::env::var_os("TMPDIR").map(PathBuf::from);
     let kept = kept.map(|dir| dir.join(format!("foldmux-maintenance-{}", on.port())));
@@ -191,6 +191,8 @@
     let told = core.clone();
     named("tally", READER_STACK, move || loop {
         thread::sleep(TALLY_EVERY);
+        // Whether or not there is a journal service to poll.
+        pool.sweep();
         told.tally.line().iter().for_each(|line| tracing::info!("{line}; {} open", told.open()));
     })?;
     // The desk ends only by a fault: then nothing can be decided any more, and the platform must see it.
--- a/shared/settings/src/tests.rs
+++ b/shared/settings/src/tests.rs
@@ -80,3 +80,18 @@
     let odd = LEAST.replace(r#""index":1,"#, r#""index":1,"report":{"names":"util"},"#);
     assert!(parse(&odd).is_err());
 }
+
+#[test]
+fn a_price_that_is_missing_negative_or_a_word_changes_nothing_or_is_one_clear_error() {
+    let plain = format!("{:?}", parse(LEAST).unwrap().settings);
+    for price in
+        ["-1", "0", "null", "\"dear\"", "{\"origin\":-0.5}", "{\"probe\":-1}", "{\"probe\":\"dear\"}", "[]"]
+    {
+        let told =
+            format!(r#""index":1,"charges":{price},"handshakePrice":{price},"overShareWorth":{price},"#);
+        match parse(&LEAST.replace(r#""index":1,"#, &told)) {
+            Ok(with) => assert_eq!(format!("{:?}", with.settings), plain, "{price}"),
+            Err(why) => assert!(why.starts_with("settings: ") && !why.contains('\n'), "{price}: {why}"),
+        }
+    }
+}
