--- a/edge/proxy/src/fleet.rs
+++ b/edge/proxy/src/fleet.rs
@@ -110,6 +110,11 @@
         asked.err().iter().for_each(|e| tracing::warn!("fleet: leaving without a word: {e:?}"));
     }
 
+    /// See [`Serving::reweigh`].
+    pub fn reweigh(&self, said: &Said, tenants: &[(String, f64)]) -> Option<usize> {
+        self.serving.reweigh(said, tenants)
+    }
+
     pub fn end(self) {
         self.serving.report();
         let counts = self.fleet.links().counts();
--- a/edge/proxy/src/fleet/parts.rs
+++ b/edge/proxy/src/fleet/parts.rs
@@ -107,6 +107,11 @@
         self.turns.iter().for_each(|turns| turns.leave());
     }
 
+    /// How many weights are taken; none where there is no pool.
+    pub fn reweigh(&self, said: &Said, tenants: &[(String, f64)]) -> Option<usize> {
+        self.turns.as_ref().map(|turns| turns.reweigh(said, tenants))
+    }
+
     pub fn report(&self) {
         self.cover.iter().for_each(|cover| tracing::info!("fleet: {}", cover.report()));
     }
--- a/edge/proxy/src/reload.rs
+++ b/edge/proxy/src/reload.rs
@@ -1,6 +1,7 @@
 //! What SIGHUP reads again, and the classes as each front takes them.
 
 use crate::config;
+use crate::fleet::Running;
 use crate::journal::Service;
 use crate::limits;
 use crate::wiring::Live;
@@ -90,6 +91,16 @@
     Ok(format!("{count} sets of limits taken"))
 }
 
+/// Reads what tenants weigh again, in the operator's file and the settings, and takes it at the pools, where there are any.
+pub fn reweigh(file: &Path, settings: &Path, fleet: &Running) -> Option<Result<String, String>> {
+    let told = || -> Result<Option<usize>, String> {
+        let operator = foldmux_operator::load(file).map_err(|faults| faults.join("; "))?;
+        let said = operator.fleet.ok_or_else(|| format!("{}: no fleet", file.display()))?;
+        Ok(fleet.reweigh(&said, &config::read(settings)?.decoded.tenants))
+    };
+    told().map(|count| count.map(|count| format!("{count} taken"))).transpose()
+}
+
 /// Reads the operator's file again and takes its keys for tokens.
 pub fn rekey(file: &Path, serving: &Serving) -> Result<String, String> {
     let operator = foldmux_operator::load(file).map_err(|faults| faults.join("; "))?;
--- a/edge/proxy/src/server.rs
+++ b/edge/proxy/src/server.rs
@@ -6,7 +6,7 @@
 use crate::journal::{Journal, Names, Service};
 use crate::limits;
 use crate::line::{self, Hand, Sources};
-use crate::reload::{processed, rekey, relimit, reload, rewire, routed, rules, served, tell};
+use crate::reload::{processed, rekey, relimit, reload, reweigh, rewire, routed, rules, served, tell};
 use crate::wiring::{Live, Zones};
 use foldmux::interface::{Repeat, Time};
 use foldmux::Router;
@@ -208,6 +208,9 @@
         if let (Some(limiter), Some(own_file)) = (core.limits.get(), own_file) {
             tell("limits", relimit(own_file, &account, limiter));
         }
+        if let (Some(fleet), Some(own_file)) = (&own_fleet, own_file) {
+            reweigh(own_file, file, fleet).into_iter().for_each(|came| tell("weights", came));
+        }
         if let (Some(serving), Some(own_file)) = (&processor, own_file) {
             // What was placed and refused is told either way.
             let counted = |text: String| format!("{text}; {}", serving.line());
--- a/edge/proxy/src/turns.rs
+++ b/edge/proxy/src/turns.rs
@@ -2,8 +2,10 @@
 //! of its own; slots come from the fleet. Without a pool in the file nothing here is started.
 
 mod pool;
+mod weights;
 
 use crate::turns::pool::{Pool, TurnPlace, Word};
+use crate::turns::weights::{keyed, weights};
 use crossbeam_channel::{bounded, Sender};
 use foldmux::interface::{CacheId, Fetch, Time};
 use foldmux_core::members::Members;
@@ -19,7 +21,6 @@
 use foldmux_operator::{Fleet as Said, PoolBy};
 use foldmux_seats::{Change, Drift, Peer, Seats};
 use foldmux_settings::Decoded;
-use std::collections::BTreeMap;
 use std::io;
 use std::sync::Arc;
 use std::thread;
@@ -82,9 +83,7 @@
         let slow_over = classes.iter().map(|class| class.aim).filter(|aim| *aim > 0).min().unwrap_or(longest);
         // None starts that may outlast its slot's lease, also right before the lease is renewed.
         let lease = 2 * longest + said.lease_ms * 1_000;
-        let weights: BTreeMap<Arc<str>, Weight> =
-            // What the settings tell of a tenant comes before what the file says.
-            said.weights.iter().chain(&decoded.tenants).map(|(name, weight)| (name.as_str().into(), Weight::of(*weight))).collect();
+        let weights = weights(said, &decoded.tenants);
         let (mut pools, mut setups) = (Vec::new(), Vec::new());
         for pool in &said.pools {
             let kinds = Kinds::of(&pool.name, decoded)?;
@@ -110,7 +109,7 @@
                 key: key_of,
                 slots: pool.slots as u16,
                 lease,
-                weights: weights.iter().map(|(name, weight)| (key(name), weight.0)).collect(),
+                weights: keyed(&weights).collect(),
                 unnamed: Weight::ONE.0,
             });
         }
@@ -140,6 +139,13 @@
         Ok(())
     }
 
+    /// Weights as the file and the settings say now; what waits keeps its place and goes by them from here on.
+    pub fn reweigh(&self, said: &Said, tenants: &[(String, f64)]) -> usize {
+        let weights = weights(said, tenants);
+        self.pools.iter().for_each(|(_, pool)| pool.reweigh(&weights));
+        weights.len()
+    }
+
     /// It leaves: idle slots are given back at once, the others as they end.
     pub fn leave(&self) {
         self.pools.iter().for_each(|(_, pool)| pool.leave());
--- a/edge/proxy/src/turns/pool.rs
+++ b/edge/proxy/src/turns/pool.rs
@@ -1,10 +1,11 @@
 //! One pool at this process: its queue and slots behind one lock, which is held for microseconds.
 
+use crate::turns::weights::{keyed, Weights};
 use crossbeam_channel::Sender;
 use foldmux::interface::Time;
 use foldmux_core::turn::Place;
 use foldmux_fair::local::{Asked, InUse, Local, Request, Then, Ticket};
-use foldmux_fair::tenants::By;
+use foldmux_fair::tenants::{By, Weight};
 use foldmux_fair::{Ask, Told};
 use foldmux_fleet::Port;
 use std::collections::HashMap;
@@ -92,6 +93,15 @@
         self.go_on(&mut state, now);
     }
 
+    pub fn reweigh(&self, weights: &Weights) {
+        let mut state = self.state();
+        let now = self.now();
+        state.local.retune(now, weights, Weight::ONE);
+        self.go_on(&mut state, now);
+        let named = keyed(weights).collect();
+        self.ask(Ask::Weights { pool: self.key, named, unnamed: Weight::ONE.0 });
+    }
+
     pub fn leave(&self) {
         self.ask(Ask::Leaving { pool: self.key });
     }
@@ -163,7 +173,6 @@
     use crossbeam_channel::bounded;
     use foldmux_fair::queue::Setup;
     use foldmux_fair::slow::Figures;
-    use foldmux_fair::tenants::Weight;
     use foldmux_fair::Stock;
 
     fn request(id: u64, deadline: Time) -> Request<'static> {
--- a/rigs/rig/src/archive.rs
+++ b/rigs/rig/src/archive.rs
@@ -3,6 +3,7 @@
 //! them all; and it can be held at points of a request's life.
 
 use crate::gate::{Gate, Gates, Point};
+use crate::pools::{Places, Pools};
 use crate::record::{Event, Record};
 use crate::who::Who;
 use foldmux_http1::io::write_all;
@@ -31,12 +32,16 @@
     /// What a keyed request takes, and any other.
     pub work: Duration,
     pub read: Duration,
+    /// Reads of this class take so long.
+    pub slow: Option<(&'static str, Duration)>,
+    /// Reads that it serves at once, first come; none: all.
+    pub cap: Option<u64>,
 }
 
 impl Default for Policy {
     fn default() -> Policy {
         let ms = Duration::from_millis;
-        Policy { window: Some(ms(2_000)), terms: true, work: ms(25), read: ms(8) }
+        Policy { window: Some(ms(2_000)), terms: true, work: ms(25), read: ms(8), slow: None, cap: None }
     }
 }
 
@@ -53,35 +58,45 @@
     keys: Mutex<HashMap<String, Key>>,
     done: Condvar,
     gates: Gates,
+    pools: Pools,
+    places: Places,
     record: Record,
     who: Who,
 }
 
 pub struct Archive {
-    server: Server,
+    /// By kind, as pools call it.
+    servers: Vec<(&'static str, Server)>,
     shared: Arc<Shared>,
 }
 
 impl Archive {
-    pub fn start(policy: Policy, record: &Record, who: &Who) -> Archive {
+    pub fn start(policy: Policy, record: &Record, who: &Who, pools: Pools) -> Archive {
         let shared = Arc::new(Shared {
             policy: Mutex::new(policy),
             keys: Mutex::default(),
             done: Condvar::new(),
             gates: Gates::default(),
+            pools,
+            places: Places::default(),
             record: record.clone(),
             who: who.clone(),
         });
-        let own = shared.clone();
-        let server = Server::start(move |stream| {
-            let mut by = None;
-            while one(stream, &own, &mut by) {}
-        });
-        Archive { server, shared }
+        let serve = |kind: &'static str| {
+            let own = shared.clone();
+            let server = Server::start(move |stream| {
+                let mut by = None;
+                while one(stream, kind, &own, &mut by) {}
+            });
+            (kind, server)
+        };
+        let servers = ["cache", "hub", "archive"].into_iter().map(serve).collect();
+        Archive { servers, shared }
     }
 
-    pub fn address(&self) -> SocketAddr {
-        self.server.address
+    pub fn address(&self, kind: &str) -> SocketAddr {
+        let server = self.servers.iter().find(|(own, _)| *own == kind);
+        server.unwrap_or(&self.servers[0]).1.address
     }
 
     /// Holds keyed requests at this point, or one key's alone.
@@ -157,18 +172,22 @@
 }
 
 /// Serves one request; whether the connection may carry another.
-fn one(stream: &TcpStream, shared: &Shared, by: &mut Option<usize>) -> bool {
+fn one(stream: &TcpStream, kind: &str, shared: &Shared, by: &mut Option<usize>) -> bool {
     let Some(ask) = read_ask(stream) else { return false };
     // Looked up once bytes are here: the line knows by then whose they are.
     *by = by.or_else(|| shared.who.dialled(stream));
     let by = *by;
     let policy = *shared.policy.lock().unwrap_or_else(PoisonError::into_inner);
     let Some(key) = ask.fields.get("via-token").cloned() else {
-        shared.record.add(Event::Taken { pool: "archive".into(), by });
-        thread::sleep(policy.read);
-        let sent = say(stream, 200, &ask, &body(ask.object, ask.part, 1, LENGTH));
-        shared.record.add(Event::Given { pool: "archive".into(), by });
-        return sent;
+        let pool = shared.pools.of(kind, ask.field("x-fill-from")).map(String::from);
+        policy.cap.iter().for_each(|most| shared.places.take(*most));
+        pool.iter().for_each(|pool| shared.record.add(Event::Taken { pool: pool.clone(), by }));
+        let slow = policy.slow.filter(|(class, _)| *class == ask.class);
+        works(stream, slow.map_or(policy.read, |(_, time)| time));
+        // Written down before the answer leaves: whoever has it may use the slot again.
+        pool.iter().for_each(|pool| shared.record.add(Event::Given { pool: pool.clone(), by }));
+        policy.cap.iter().for_each(|_| shared.places.give());
+        return say(stream, 200, &ask, &body(ask.object, ask.part, 1, LENGTH));
     };
     let term = ask.field(TERM).parse().ok();
     shared.record.add(Event::Reached { key: key.clone(), by, term });
@@ -188,6 +207,17 @@
     say(stream, 200, &ask, result(&key, run).as_bytes())
 }
 
+/// For so long, or until the other side gives up.
+fn works(stream: &TcpStream, time: Duration) {
+    let until = Instant::now() + time;
+    let _ = stream.set_read_timeout(Some(time.max(Duration::from_millis(1))));
+    let gone = matches!(stream.peek(&mut [0]), Ok(0));
+    let _ = stream.set_read_timeout(None);
+    if !gone {
+        thread::sleep(until.saturating_duration_since(Instant::now()));
+    }
+}
+
 fn say(stream: &TcpStream, status: u16, ask: &Ask, bytes: &[u8]) -> bool {
     let fields = match status {
         200 => format!("ETag: {:x}-1\r\nX-Born-Ms: {}\r\n", ask.object, unix_ms()),
--- a/rigs/rig/src/demo.rs
+++ b/rigs/rig/src/demo.rs
@@ -3,8 +3,9 @@
 
 use crate::check;
 use crate::customer::{key, Manner};
-use crate::fleet::{Fleet, Plan};
+use crate::fleet::Fleet;
 use crate::line::Way;
+use crate::plan::Plan;
 use crate::settings::{KEYED, READS};
 use crate::wired::{self, Wired};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
--- a/rigs/rig/src/faults.rs
+++ b/rigs/rig/src/faults.rs
@@ -2,7 +2,8 @@
 
 use crate::check::{self, Verdict};
 use crate::customer::{key, Manner};
-use crate::fleet::{Fleet, Plan};
+use crate::fleet::Fleet;
+use crate::plan::Plan;
 use crate::schedule::{draw, play, Among, Counts};
 use crate::settings::{KEYED, READS};
 use rand::rngs::StdRng;
--- a/rigs/rig/src/fleet.rs
+++ b/rigs/rig/src/fleet.rs
@@ -1,8 +1,10 @@
 //! A fleet of real processes with everything that they talk to, each link through a line.
 
-use crate::archive::{Archive, Policy};
+use crate::archive::Archive;
 use crate::customer::Customer;
 use crate::line::{Control, Line, Way};
+use crate::plan::Plan;
+use crate::pools::Pools;
 use crate::process::{free, program, Process, Spec};
 use crate::record::{Event, Record};
 use crate::settings::{self, BOXES};
@@ -19,28 +21,6 @@
 /// How long a process may take to start, be well or end.
 pub const SOON: Duration = Duration::from_secs(20);
 
-#[derive(Clone, Debug)]
-pub struct Plan {
-    pub processes: usize,
-    pub sites: usize,
-    /// The first so many processes are seats.
-    pub seats: usize,
-    pub seed: u64,
-    /// Whether the processes are one fleet; else each is alone, and has no operator's file.
-    pub fleet: bool,
-    pub lease: Duration,
-    /// More lines of the operator's file.
-    pub operator: String,
-    pub archive: Policy,
-}
-
-impl Default for Plan {
-    fn default() -> Plan {
-        let (lease, operator, archive) = (Duration::from_millis(500), String::new(), Policy::default());
-        Plan { processes: 3, sites: 2, seats: 3, seed: 1, fleet: false, lease, operator, archive }
-    }
-}
-
 pub struct Fleet {
     // In this order they end: the processes first.
     running: Vec<Mutex<Option<Process>>>,
@@ -65,8 +45,12 @@
         std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
         let (record, who, program) = (Record::default(), Who::default(), program()?);
         record.add(Event::Planned { seed: plan.seed, processes: plan.processes, sites: plan.sites });
-        let archive = Archive::start(plan.archive, &record, &who);
-        let line = |n: usize| Line::to(&format!("cache {n}"), archive.address(), &who);
+        let pools = settings::pools(&plan.operator);
+        let cap = |(pool, slots): &(String, u64)| Event::Cap { pool: pool.clone(), slots: *slots };
+        pools.iter().for_each(|pool| record.add(cap(pool)));
+        let archive = Archive::start(plan.archive, &record, &who, Pools::new(pools, plan.sites));
+        let to = |n: usize| archive.address(settings::kind(n, plan.sites));
+        let line = |n: usize| Line::to(&format!("cache {n}"), to(n), &who);
         let caches: Vec<Line> = (0..plan.sites * BOXES + 2).map(line).collect();
         let journal = Journal::start();
         let news = Line::to("journal", journal.address(), &who);
@@ -142,6 +126,16 @@
         self.signal(process, Signal::SIGCONT, Event::Woken { process })
     }
 
+    /// Has it read the operator's file again, with these lines in place of the plan's.
+    pub fn reread(&self, plan: &Plan, process: usize, lines: &str) -> Result<(), String> {
+        let slot = self.slot(process);
+        let running = slot.as_ref().ok_or_else(|| format!("n{process} is down"))?;
+        let old = self.specs[process].operator.as_deref().unwrap_or_default();
+        let new = old.strip_suffix(&*plan.operator).unwrap_or(old).to_string() + lines;
+        std::fs::write(running.folder().join("foldmux.star"), new).map_err(|e| e.to_string())?;
+        running.signal(Signal::SIGHUP)
+    }
+
     /// Tells it to leave and waits until it has.
     pub fn leave(&self, process: usize) -> Result<ExitStatus, String> {
         self.signal(process, Signal::SIGTERM, Event::Left { process })?;
--- a/rigs/rig/src/lib.rs
+++ b/rigs/rig/src/lib.rs
@@ -2,7 +2,7 @@
 //! reads the record of it.
 //!
 //! Owns: the processes ([`process`], [`fleet`]), the lines ([`line`], [`who`]), the archive that audits by key
-//! ([`archive`]), those who ask ([`customer`]), the faults and their order ([`schedule`], [`faults`]), the record ([`record`])
+//! ([`archive`], [`pools`]), those who ask ([`customer`]), the faults and their order ([`schedule`], [`faults`]), tenants beside a flood ([`neighbours`]), the record ([`record`])
 //! and the one place where all invariants are checked ([`check`]). May not: decide anything for the program, reach into
 //! it other than by its sockets, signals, files and log, or signal a process that it didn't start.
 
@@ -14,6 +14,9 @@
 pub mod fleet;
 pub mod gate;
 pub mod line;
+pub mod neighbours;
+pub mod plan;
+pub mod pools;
 pub mod process;
 pub mod pump;
 pub mod record;
@@ -22,5 +25,6 @@
 pub mod who;
 pub mod wired;
 
-pub use fleet::{Fleet, Plan};
+pub use fleet::Fleet;
 pub use line::Way;
+pub use plan::Plan;
--- a/rigs/rig/src/main.rs
+++ b/rigs/rig/src/main.rs
@@ -2,6 +2,7 @@
 
 use foldmux_rig::demo;
 use foldmux_rig::faults::{self, Run};
+use foldmux_rig::neighbours;
 use foldmux_rig::schedule::Counts;
 use foldmux_rig::wired::{self, Wired};
 use foldmux_rig::Plan;
@@ -15,6 +16,7 @@
 const USAGE: &str = "\
 foldmux-rig faults [--seconds N] [--seed N] [--processes N] [--requests N] [--alone] [--record FILE]
 foldmux-rig demo [--seconds N] [--seed N] [--record FILE]
+foldmux-rig neighbours [--seconds N] [--seed N] [--processes N]
 
   --alone   no fleet: what is lost and run twice without it
 The program is the foldmux beside this one, or what FOLDMUX names.";
@@ -24,6 +26,7 @@
     seconds: u64,
     seed: u64,
     processes: usize,
+    sized: bool,
     requests: Option<u64>,
     alone: bool,
     record: Option<PathBuf>,
@@ -36,6 +39,7 @@
         seconds: 0,
         seed: 1,
         processes: 8,
+        sized: false,
         requests: None,
         alone: false,
         record: None,
@@ -45,7 +49,10 @@
             Arg::Value(word) if line.command.is_empty() => line.command = word.string()?,
             Arg::Long("seconds") => line.seconds = parser.value()?.parse()?,
             Arg::Long("seed") => line.seed = parser.value()?.parse()?,
-            Arg::Long("processes") => line.processes = parser.value()?.parse()?,
+            Arg::Long("processes") => {
+                line.processes = parser.value()?.parse()?;
+                line.sized = true;
+            }
             Arg::Long("requests") => line.requests = Some(parser.value()?.parse()?),
             Arg::Long("alone") => line.alone = true,
             Arg::Long("record") => line.record = Some(parser.value()?.into()),
@@ -61,6 +68,14 @@
         "demo" => {
             demo::play(line.seed, Duration::from_secs(if line.seconds == 0 { 30 } else { line.seconds }))
         }
+        "neighbours" => {
+            let sizes = if line.sized { vec![line.processes] } else { vec![1, 4, 16] };
+            neighbours::table(
+                line.seed,
+                Duration::from_secs(if line.seconds == 0 { 8 } else { line.seconds }),
+                &sizes,
+            )
+        }
         _ => Err(USAGE.to_string()),
     });
     match ran {
--- /dev/null
+++ b/rigs/rig/src/pools.rs
@@ -0,0 +1,65 @@
+//! Which pool a request at the stand-in holds a slot of, and the first-come places of a stand-in that bounds itself.
+
+use crate::settings::kind;
+use std::sync::{Condvar, Mutex, PoisonError};
+
+/// The pools that the operator's lines name.
+#[derive(Debug, Default)]
+pub struct Pools {
+    names: Vec<(String, u64)>,
+    sites: usize,
+}
+
+impl Pools {
+    pub fn new(names: Vec<(String, u64)>, sites: usize) -> Pools {
+        Pools { names, sites }
+    }
+
+    /// That of the source that a fill names, else of the kind that was asked.
+    pub fn of(&self, asked: &str, fill: &str) -> Option<&str> {
+        let host = fill.strip_prefix("s-").and_then(|n| usize::from_str_radix(n, 16).ok());
+        let source = host.and_then(|n| n.checked_sub(1)).map(|n| kind(n, self.sites));
+        let named = |kind: &str| self.names.iter().map(|(name, _)| &**name).find(|name| *name == kind);
+        source.into_iter().chain([asked]).find_map(named)
+    }
+}
+
+/// So many at once, first come, first served.
+#[derive(Debug, Default)]
+pub struct Places {
+    /// Tickets given out, and those that were served or are.
+    state: Mutex<(u64, u64)>,
+    free: Condvar,
+}
+
+impl Places {
+    pub fn take(&self, most: u64) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let own = state.0;
+        state.0 += 1;
+        let waits = |state: &mut (u64, u64)| own >= state.1 + most;
+        drop(self.free.wait_while(state, waits));
+    }
+
+    pub fn give(&self) {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner).1 += 1;
+        self.free.notify_all();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_fill_holds_a_slot_of_its_source_else_of_where_it_goes() {
+        let pools = Pools::new(vec![("archive".into(), 4), ("cache".into(), 2)], 2);
+        let of = |asked, fill| pools.of(asked, fill);
+        // Four boxes, the parent, the origin.
+        assert_eq!([of("cache", "s-00000006"), of("cache", "s-00000005")], [Some("archive"), Some("cache")]);
+        assert_eq!(
+            [of("cache", ""), of("hub", ""), of("archive", "")],
+            [Some("cache"), None, Some("archive")]
+        );
+    }
+}
--- a/rigs/rig/src/record.rs
+++ b/rigs/rig/src/record.rs
@@ -205,6 +205,10 @@
         }
     }
 
+    pub fn now(&self) -> Time {
+        self.began.elapsed().as_micros() as Time
+    }
+
     /// All lines so far; none where some were lost, as nothing could be said of such a run.
     pub fn lines(&self) -> Option<Vec<Line>> {
         let kept = self.kept();
--- a/rigs/rig/src/settings.rs
+++ b/rigs/rig/src/settings.rs
@@ -1,6 +1,6 @@
 //! What the rig's processes are told: the platform's settings of a small deployment, and the operator's file.
 
-use crate::fleet::Plan;
+use crate::plan::Plan;
 use foldmux_standins::journal::Host;
 use std::net::SocketAddr;
 
@@ -10,6 +10,28 @@
 pub const KEYED: &str = "mix-record";
 pub const READS: [&str; 2] = ["mix-video", "formula-card"];
 
+/// Classes of reads that stand for tenants, as the front's wire names none; in the settings where the plan has so many.
+pub const TENANTS: [&str; 4] = ["tenant-0", "tenant-1", "tenant-2", "tenant-3"];
+
+/// What a pool of the operator's file calls the kind of a host of the list.
+pub fn kind(host: usize, sites: usize) -> &'static str {
+    match (sites * BOXES + 2).saturating_sub(host) {
+        1 => "archive",
+        2 => "hub",
+        _ => "cache",
+    }
+}
+
+/// The pools of the operator's lines, and their slots.
+pub fn pools(operator: &str) -> Vec<(String, u64)> {
+    let pool = |line: &str| {
+        let (name, rest) = line.trim().strip_prefix("pool(\"")?.split_once('"')?;
+        let slots = rest.split_once("slots = ")?.1.split(|c: char| !c.is_ascii_digit()).next()?;
+        Some((name.to_string(), slots.parse().ok()?))
+    };
+    operator.lines().filter_map(pool).collect()
+}
+
 pub fn name(process: usize) -> String {
     format!("n{process}")
 }
@@ -41,11 +63,12 @@
             r#"{{"name":"{name}","slo":{slo},"hardLimit":3000000,"aimStretch":2.0,"importance":{worth},"lateValue":0.1,"idempotency":"{idempotency}","group":"all","repeatWindow":2000000}}"#
         )
     };
-    let classes = [
+    let mut classes = vec![
         class(READS[0], 500_000, 2.0, "free"),
         class(READS[1], 250_000, 1.0, "free"),
         class(KEYED, 600_000, 3.0, "guarded"),
     ];
+    classes.extend(TENANTS.iter().take(plan.tenants).map(|name| class(name, 250_000, 1.0, "free")));
     let zeros = vec!["0"; plan.sites + 1].join(",");
     let mut counts = vec![0; plan.sites + 1];
     (0..plan.processes).for_each(|n| counts[1 + n % plan.sites] += 1);
