Open no connection to a cache that drains or is gone by the time an attempt is made

An attempt dialled first and looked at the list right before its first byte: a cache that drained, went, started anew or moved since the decision still got a connection, which is priced and takes a scarce place. It looks before it dials too.

--- a/edge/proxy/src/server.rs
+++ b/edge/proxy/src/server.rs
@@ -191,8 +191,7 @@
     let told = core.clone();
     named("tally", READER_STACK, move || loop {
         thread::sleep(TALLY_EVERY);
-        // Whether or not there is a journal service to poll.
-        pool.sweep();
+        pool.sweep(); // also where there is no journal service
         told.tally.line().iter().for_each(|line| tracing::info!("{line}; {} open", told.open()));
     })?;
     // The desk ends only by a fault: then nothing can be decided any more, and the platform must see it.
--- a/edge/upstream/src/lib.rs
+++ b/edge/upstream/src/lib.rs
@@ -79,7 +79,9 @@
             0 => attempt.deadline,
             time => attempt.deadline.min(target.decided + span(time)),
         };
-        let (Some(cache), Some(start)) = (self.members.get(fetch.cache), target.cache) else {
+        // No connection is opened to a cache that drains or is gone by now.
+        let start = target.cache.filter(|start| self.members.allows(fetch.cache, *start));
+        let (Some(cache), Some(start)) = (self.members.get(fetch.cache), start) else {
             return (Outcome::NeverSent, None);
         };
         let Some(mut loan) = self.pool.lend(cache.member.cache, start) else {
--- /dev/null
+++ b/edge/upstream/tests/attempts.rs
@@ -0,0 +1,100 @@
+//! Attempts at caches that drain, go, start anew or move after the module decided: no connection is opened.
+
+use foldmux::interface::{CacheId, Fetch, Member, Outcome, RequestId, State, Time};
+use foldmux_core::attempt::{Attempt, Tries};
+use foldmux_core::clock::Clock;
+use foldmux_core::desk::Target;
+use foldmux_core::inquiry::Inquiry;
+use foldmux_core::members::{Listed, Members};
+use foldmux_core::slot::Slot;
+use foldmux_upstream::{pool::Pool, Upstream};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const CACHE: CacheId = CacheId(7);
+
+fn line(address: SocketAddr, state: State, boot: Time) -> Listed {
+    Listed { member: Member { cache: CACHE, state, boot, ..Member::default() }, name: "s".into(), address }
+}
+
+fn fetch() -> Fetch {
+    Fetch {
+        id: RequestId(1),
+        cache: CACHE,
+        time_out: 0,
+        source: CACHE,
+        keep: 0,
+        max_age: 0,
+        join: false,
+        hold_only: false,
+        renew: false,
+    }
+}
+
+fn inquiry() -> Inquiry {
+    Inquiry {
+        via: 1,
+        class: Arc::new(0),
+        class_name: "sheet".into(),
+        object: 5,
+        part: 0,
+        group: 0,
+        size_kb: 1.0,
+        token: None,
+        got: None,
+        body: None,
+        arrived: Instant::now(),
+        budget: 20_000_000,
+        front: "test",
+        caller: "".into(),
+        within: None,
+    }
+}
+
+/// How an attempt ends that the module decided on while the cache was `before`, and that is made once it is `after`.
+fn attempt(upstream: &Upstream, before: Listed, after: Option<Listed>) -> Outcome {
+    upstream.members.apply(true, vec![before.clone()]);
+    let target = Target { cache: Some(before.start()), source: None, attempt: 0, decided: Instant::now() };
+    upstream.members.apply(true, after.into_iter().collect());
+    let (inquiry, slot, fetch) = (inquiry(), Slot::new(RequestId(1)), fetch());
+    let deadline = Instant::now() + Duration::from_secs(20);
+    let made =
+        Attempt { inquiry: &inquiry, slot: &slot, fetch: &fetch, target: &target, deadline, guard: None };
+    upstream.attempt(&made, &mut vec![0; 64 * 1024]).0
+}
+
+#[test]
+fn no_connection_is_opened_to_a_cache_that_drains_is_gone_started_anew_or_moved() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = listener.local_addr().unwrap();
+    let upstream = Upstream {
+        members: Arc::new(Members::default()),
+        pool: Pool::new(8, Duration::from_secs(60)),
+        clock: Clock::default(),
+        dial_time_out: Duration::from_secs(5),
+    };
+    let ready = |boot| line(at, State::Ready, boot);
+    listener.set_nonblocking(true).unwrap();
+    let elsewhere = SocketAddr::from(([127, 0, 0, 1], 9));
+    for after in
+        [Some(line(at, State::Draining, 3)), None, Some(ready(4)), Some(line(elsewhere, State::Ready, 3))]
+    {
+        assert_eq!(attempt(&upstream, ready(3), after), Outcome::NeverSent);
+        // A connection that was opened would be here by now: opening waits for it.
+        assert_eq!(listener.accept().unwrap_err().kind(), ErrorKind::WouldBlock);
+        assert_eq!(upstream.pool.count(), (0, 0));
+    }
+    // While it is as it was, one is opened, used and kept.
+    listener.set_nonblocking(false).unwrap();
+    let serves = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        assert!(stream.read(&mut [0; 4096]).unwrap() > 0);
+        stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").unwrap();
+        stream
+    });
+    assert_eq!(attempt(&upstream, ready(3), Some(ready(3))), Outcome::Served);
+    let _open = serves.join().unwrap();
+    assert_eq!(upstream.pool.count(), (0, 1));
+}
