--- /dev/null
+++ b/rigs/lab/src/fanout/world.rs
@@ -0,0 +1,278 @@
+//! Instances in virtual time and what waits to happen to them.
+
+use super::play::Plan;
+use super::subscribers::Subscribers;
+use foldmux_relay::{Ask, First, Item, Message, Relay, Setup, Slow, Stream};
+use foldmux_seats::{Drift, Part, Peer, Seats, Time};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use std::cmp::Ordering;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::sync::Arc;
+
+pub const MS: Time = 1_000;
+pub const NAME: &str = "journal";
+/// As the edge proxy reads: a poll without news, and one that is lost.
+pub const WAIT: Time = 1_000 * MS;
+const LEASE: Time = 500 * MS;
+
+pub struct Instance {
+    pub relay: Option<Relay>,
+    pub life: u64,
+    pub site: usize,
+    /// It reads the source; which poll is out; how far it has read in this life.
+    pub open: bool,
+    pub first: bool,
+    pub poll: u64,
+    pub tail: usize,
+    pub tick_at: Time,
+}
+
+pub enum What {
+    Hear(usize, usize, Message),
+    Tick(usize),
+    /// A poll that comes to the source; what it answers, up to there; its end without news.
+    Poll(usize, u64),
+    Answer(usize, u64, usize),
+    Quiet(usize, u64),
+    /// A subscriber whose instance went comes back.
+    Back(usize),
+    End(usize),
+    Begin(usize),
+}
+
+struct Next {
+    time: Time,
+    order: u64,
+    life: u64,
+    what: What,
+}
+
+impl PartialEq for Next {
+    fn eq(&self, other: &Next) -> bool {
+        self.cmp(other) == Ordering::Equal
+    }
+}
+
+impl Eq for Next {}
+
+impl PartialOrd for Next {
+    fn partial_cmp(&self, other: &Next) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Next {
+    /// The soonest is the greatest.
+    fn cmp(&self, other: &Next) -> Ordering {
+        (other.time, other.order).cmp(&(self.time, self.order))
+    }
+}
+
+pub struct World {
+    pub now: Time,
+    pub plan: Plan,
+    /// Without it each instance reads the source by a poll of its own.
+    pub relayed: bool,
+    pub instances: Vec<Instance>,
+    names: Vec<(Peer, Vec<Arc<str>>)>,
+    pub log: Vec<(Time, Item)>,
+    pub purges: u64,
+    pub subscribers: Subscribers,
+    pub waiting: BTreeMap<usize, (u64, u64)>,
+    queue: BinaryHeap<Next>,
+    order: u64,
+    pub last_sent: BTreeMap<(usize, usize), Time>,
+    pub draws: StdRng,
+    /// Open streams now; the source's bytes and answers; messages between instances.
+    pub open: usize,
+    pub bytes: u64,
+    pub answers: u64,
+    pub sent: u64,
+}
+
+impl World {
+    pub fn new(plan: &Plan, relayed: bool) -> World {
+        let site = |n: usize| vec![Arc::<str>::from(format!("site{}", n % plan.sites))];
+        let mut world = World {
+            now: 0,
+            relayed,
+            instances: Vec::new(),
+            names: (0..plan.instances).map(|n| (Peer::new(&format!("n{n}")), site(n))).collect(),
+            log: Vec::new(),
+            purges: 0,
+            subscribers: Subscribers::default(),
+            waiting: BTreeMap::new(),
+            queue: BinaryHeap::new(),
+            order: 0,
+            last_sent: BTreeMap::new(),
+            draws: StdRng::seed_from_u64(plan.seed),
+            open: 0,
+            bytes: 0,
+            answers: 0,
+            sent: 0,
+            plan: plan.clone(),
+        };
+        for n in 0..plan.instances {
+            let (relay, site) = (None, n % plan.sites);
+            let own = Instance {
+                relay,
+                life: 0,
+                site,
+                open: false,
+                first: false,
+                poll: 0,
+                tail: 0,
+                tick_at: Time::MAX,
+            };
+            world.instances.push(own);
+            world.begin(n);
+        }
+        world
+    }
+
+    fn part(&self, n: usize, life: u64) -> Relay {
+        let seats = Seats::new((0..5).map(|n| Peer::new(&format!("n{n}")))).expect("five seats");
+        let ms = |ms: u64| ms * MS;
+        let stream = Stream {
+            name: NAME.into(),
+            slow: Slow::All,
+            first: First::Whole,
+            shared: false,
+            patience: ms(self.plan.patience_ms),
+            window: ms(10_000),
+            items: 4_096,
+            bytes: 1 << 20,
+            keys: 4_096,
+            ahead: 256,
+        };
+        let setup = Setup {
+            me: self.names[n].0.clone(),
+            life: life << 32,
+            places: self.names.clone(),
+            seats,
+            drift: Drift::default(),
+            lease: LEASE,
+            streams: vec![stream],
+            readers: 100_000,
+            fed: self.plan.instances,
+            hold: ms(10_000),
+            seed: self.plan.seed ^ (n as u64) << 32 ^ life,
+        };
+        Relay::new(setup, self.now)
+    }
+
+    /// An instance starts: it forgot what it read.
+    pub fn begin(&mut self, n: usize) {
+        let life = self.instances[n].life + 1;
+        let relay = self.relayed.then(|| self.part(n, life));
+        let site = self.instances[n].site;
+        self.instances[n] =
+            Instance { relay, life, site, open: false, first: false, poll: 0, tail: 0, tick_at: Time::MAX };
+        if !self.relayed {
+            (self.instances[n].open, self.open) = (true, self.open + 1);
+            self.poll(n);
+        }
+    }
+
+    /// kill -9; those who read from it come back elsewhere, and it starts again after a while.
+    pub fn end(&mut self, n: usize) {
+        let own = &mut self.instances[n];
+        self.open -= usize::from(std::mem::take(&mut own.open));
+        own.relay = None;
+        own.life += 1;
+        self.waiting.remove(&n);
+        for sub in self.subscribers.parted(n) {
+            let wait = self.drawn(10 * MS, 150 * MS);
+            self.at(wait, usize::MAX, What::Back(sub));
+        }
+        self.at(2_000 * MS, n, What::Begin(n));
+    }
+
+    pub fn lives(&self, n: usize) -> bool {
+        self.instances[n].open || self.instances[n].relay.is_some()
+    }
+
+    pub fn drawn(&mut self, from: Time, to: Time) -> Time {
+        self.draws.random_range(from..=to)
+    }
+
+    /// After so long, if the instance still has this life.
+    pub fn at(&mut self, after: Time, n: usize, what: What) {
+        self.order += 1;
+        let life = self.instances.get(n).map_or(0, |own| own.life);
+        self.queue.push(Next { time: self.now + after, order: self.order, life, what });
+    }
+
+    pub fn run(&mut self, until: Time) {
+        while self.queue.peek().is_some_and(|next| next.time <= until) {
+            let Some(Next { time, life, what, .. }) = self.queue.pop() else { break };
+            self.now = time;
+            let of = match &what {
+                What::Hear(_, n, _) | What::Tick(n) | What::Poll(n, _) => Some(*n),
+                What::Answer(n, ..) | What::Quiet(n, _) | What::End(n) | What::Begin(n) => Some(*n),
+                What::Back(_) => None,
+            };
+            if of.is_none_or(|n| self.instances[n].life == life) {
+                self.happen(what);
+            }
+        }
+        self.now = until;
+    }
+
+    fn happen(&mut self, what: What) {
+        let now = self.now;
+        match what {
+            What::Hear(from, to, message) => {
+                let from = self.names[from].0.clone();
+                self.drive(to, |relay, out| relay.heard(now, &from, message, out));
+            }
+            What::Tick(n) if self.instances[n].tick_at <= now => {
+                self.instances[n].tick_at = Time::MAX;
+                self.drive(n, |relay, out| relay.tick(now, out));
+            }
+            What::Tick(_) => {}
+            What::Poll(n, poll) => self.polled(n, poll),
+            What::Answer(n, poll, upto) => self.answered(n, poll, upto),
+            What::Quiet(n, poll) => {
+                if self.waiting.get(&n).is_some_and(|(_, own)| *own == poll) {
+                    self.answer(n, poll);
+                }
+            }
+            What::Back(sub) => self.subscribe(sub),
+            What::End(n) => self.end(n),
+            What::Begin(n) => self.begin(n),
+        }
+    }
+
+    /// A subscriber begins, or begins anew, at an instance of its site that lives.
+    pub fn subscribe(&mut self, sub: usize) {
+        if self.subscribers.reads(sub) {
+            return;
+        }
+        let site = self.subscribers.site(sub);
+        let size = self.plan.instances / self.plan.sites;
+        let drawn: Vec<usize> =
+            (0..64).map(|_| site + self.plan.sites * self.draws.random_range(0..size.max(1))).collect();
+        let Some(n) = drawn.into_iter().find(|n| self.lives(*n)) else {
+            return self.at(100 * MS, usize::MAX, What::Back(sub));
+        };
+        let (ticket, after) = self.subscribers.begin(sub, n);
+        self.ask(n, Ask::Subscribe { ticket, stream: NAME.into(), after, place: None });
+    }
+
+    pub fn cancel(&mut self, sub: usize) {
+        if let Some((n, ticket)) = self.subscribers.end(sub) {
+            self.ask(n, Ask::Cancel { reader: ticket });
+        }
+    }
+
+    pub fn ask(&mut self, n: usize, ask: Ask) {
+        let now = self.now;
+        self.drive(n, |relay, out| relay.ask(now, ask, out));
+    }
+
+    pub fn name(&self, peer: &Peer) -> usize {
+        peer.as_str()[1..].parse().expect("a name of the plan")
+    }
+}
--- a/rigs/lab/src/main.rs
+++ b/rigs/lab/src/main.rs
@@ -1,5 +1,6 @@
 //! `foldmux-lab`: plays scenarios, sweeps one of their fields, and plots.
 
+mod fanout;
 mod model;
 mod plot;
 mod scenario;
@@ -19,6 +20,8 @@
   foldmux-lab sweep SCENARIO --field F --values A,B,… [--repeats N] [--json]
   foldmux-lab plot SCENARIO --field F --values A,B,… [--repeats N] --out FILE.svg
   foldmux-lab plot STORM --out FILE.svg                      worth by second, with limits and without
+  foldmux-lab fanout [--instances N] [--subscribers N] [--sites N] [--seconds N] [--seed N] [--patience-ms N] [--json] [--out FILE.svg]
+                                                             a stream relayed by site, beside one poll each
   foldmux-lab help
 
 The same scenario and seed give the same figures; repeats count the seed up.";
@@ -61,6 +64,10 @@
 
 fn run() -> Result<(), String> {
     let mut parser = Parser::from_env();
+    if std::env::args().nth(1).as_deref() == Some("fanout") {
+        let _ = parser.next();
+        return fanout::command(parser);
+    }
     let (mut words, mut json) = (Vec::new(), false);
     let (mut field, mut values, mut repeats, mut out) = (None, None, 3u64, None);
     let said = |e: lexopt::Error| e.to_string();
--- a/rigs/rig/src/archive.rs
+++ b/rigs/rig/src/archive.rs
@@ -59,6 +59,8 @@
 
 pub struct Archive {
     server: Server,
+    /// The same, as one cache each.
+    doors: Vec<Server>,
     shared: Arc<Shared>,
 }
 
@@ -75,9 +77,21 @@
         let own = shared.clone();
         let server = Server::start(move |stream| {
             let mut by = None;
-            while one(stream, &own, &mut by) {}
+            while one(stream, &own, &mut by, None) {}
         });
-        Archive { server, shared }
+        Archive { server, doors: Vec::new(), shared }
+    }
+
+    /// Where it is asked as this cache; what comes is written down as that.
+    pub fn door(&mut self, cache: usize) -> SocketAddr {
+        let own = self.shared.clone();
+        let door = Server::start(move |stream| {
+            let mut by = None;
+            while one(stream, &own, &mut by, Some(cache)) {}
+        });
+        let address = door.address;
+        self.doors.push(door);
+        address
     }
 
     pub fn address(&self) -> SocketAddr {
@@ -157,11 +171,15 @@
 }
 
 /// Serves one request; whether the connection may carry another.
-fn one(stream: &TcpStream, shared: &Shared, by: &mut Option<usize>) -> bool {
+fn one(stream: &TcpStream, shared: &Shared, by: &mut Option<usize>, cache: Option<usize>) -> bool {
     let Some(ask) = read_ask(stream) else { return false };
     // Looked up once bytes are here: the line knows by then whose they are.
     *by = by.or_else(|| shared.who.dialled(stream));
     let by = *by;
+    if let Some(cache) = cache {
+        let max_age_ms = ask.field("x-max-age-ms").parse().ok();
+        shared.record.add(Event::Came { cache, by, object: ask.object, max_age_ms });
+    }
     let policy = *shared.policy.lock().unwrap_or_else(PoisonError::into_inner);
     let Some(key) = ask.fields.get("via-token").cloned() else {
         shared.record.add(Event::Taken { pool: "archive".into(), by });
--- a/rigs/rig/src/check.rs
+++ b/rigs/rig/src/check.rs
@@ -1,5 +1,6 @@
 //! The one place where all invariants are checked: it reads a record, of the rig or of the lab, and knows nothing else.
 
+mod caches;
 mod keys;
 mod slots;
 mod streams;
@@ -34,6 +35,10 @@
     pub gaps: u64,
     /// Most streams that were open at a source at one time, beyond one for each site with a reader.
     pub streams_beyond: u64,
+    /// Requests at a cache that is drained, and for a purged object with no bound on its age, each by how long the source had
+    /// told it before.
+    pub after_drain: Vec<Time>,
+    pub after_purge: Vec<Time>,
 
     /// Runs of a key beyond its first: of covered ones, and of the others.
     pub run_twice: u64,
@@ -97,10 +102,12 @@
     let mut verdict = Verdict::default();
     let (mut keys, mut streams, mut slots) =
         (keys::Keys::default(), streams::Streams::default(), slots::Slots::default());
+    let mut caches = caches::Caches::default();
     for line in lines {
         keys.take(line, &mut verdict);
         streams.take(line, &mut verdict);
         slots.take(line, &mut verdict);
+        caches.take(line, &mut verdict);
     }
     keys.end(&mut verdict);
     verdict
--- a/rigs/rig/src/check/streams.rs
+++ b/rigs/rig/src/check/streams.rs
@@ -2,7 +2,7 @@
 
 use super::Verdict;
 use crate::record::{Event, Line};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// What a reader has: the epoch and the number up to which it knows.
 type Place = (u64, u64);
@@ -16,6 +16,11 @@
     sites: BTreeMap<(String, String), u64>,
     /// The last number that the source sent, by stream and epoch.
     sent: HashMap<(String, u64), u64>,
+    /// The last of each reader's own numbers, and the index of its list.
+    own: HashMap<(String, u64), u64>,
+    lists: HashMap<(String, u64), u64>,
+    /// Streams that were once as few as their sites: before that all begin.
+    settled: BTreeSet<String>,
 }
 
 impl Streams {
@@ -28,7 +33,27 @@
                 *self.open.entry((stream.clone(), site.clone())).or_default() += 1;
                 self.beyond(stream, verdict);
             }
-            Event::Closed { stream, site } => less(&mut self.open, stream, site),
+            Event::Closed { stream, site } => {
+                less(&mut self.open, stream, site);
+                self.beyond(stream, verdict);
+            }
+            Event::Numbered { stream, reader, number } => {
+                let had = self.own.insert((stream.clone(), *reader), *number).unwrap_or(0);
+                if *number <= had {
+                    verdict.numbers_twice += 1;
+                    verdict.tell(line.at, || format!("{stream}, reader {reader}: own {number} after {had}"));
+                } else if *number > had + 1 {
+                    verdict.gaps_untold += 1;
+                    verdict.tell(line.at, || format!("{stream}, reader {reader}: own {number} after {had}"));
+                }
+            }
+            Event::Listed { stream, reader, index } => {
+                let had = self.lists.insert((stream.clone(), *reader), *index).unwrap_or(0);
+                if *index < had {
+                    verdict.numbers_twice += 1;
+                    verdict.tell(line.at, || format!("{stream}, reader {reader}: list {index} after {had}"));
+                }
+            }
             Event::Joined { stream, site, reader } => {
                 let new = self.readers.insert((stream.clone(), *reader), None).is_none();
                 *self.sites.entry((stream.clone(), site.clone())).or_default() += new as u64;
@@ -90,11 +115,16 @@
         *place = Some((epoch, to)).max(had);
     }
 
-    fn beyond(&self, stream: &str, verdict: &mut Verdict) {
+    fn beyond(&mut self, stream: &str, verdict: &mut Verdict) {
         let of = |counts: &BTreeMap<(String, String), u64>| -> Vec<u64> {
             counts.iter().filter(|((name, _), _)| name == stream).map(|(_, count)| *count).collect()
         };
         let (open, sites) = (of(&self.open).iter().sum::<u64>(), of(&self.sites).len() as u64);
+        if sites > 0 && open <= sites {
+            self.settled.insert(stream.to_string());
+        } else if !self.settled.contains(stream) {
+            return;
+        }
         verdict.streams_beyond = verdict.streams_beyond.max(open.saturating_sub(sites));
     }
 }
--- a/rigs/rig/src/fleet.rs
+++ b/rigs/rig/src/fleet.rs
@@ -3,11 +3,12 @@
 use crate::archive::{Archive, Policy};
 use crate::customer::Customer;
 use crate::line::{Control, Line, Way};
+use crate::news::News;
 use crate::process::{free, program, Process, Spec};
 use crate::record::{Event, Record};
 use crate::settings::{self, BOXES};
 use crate::who::Who;
-use foldmux_standins::journal::{hosts, Journal};
+use foldmux_standins::journal::Host;
 use nix::sys::signal::Signal;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -49,7 +50,11 @@
     peers: Vec<Vec<Line>>,
     caches: Vec<Line>,
     news: Line,
-    journal: Journal,
+    journal: News,
+    /// Where each process serves the journal, where the plan's lines say so.
+    pub(crate) serves: Vec<SocketAddr>,
+    pub(crate) hosts: Vec<Host>,
+    pub(crate) sites: usize,
     archive: Archive,
     record: Record,
     who: Who,
@@ -65,12 +70,14 @@
         std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
         let (record, who, program) = (Record::default(), Who::default(), program()?);
         record.add(Event::Planned { seed: plan.seed, processes: plan.processes, sites: plan.sites });
-        let archive = Archive::start(plan.archive, &record, &who);
-        let line = |n: usize| Line::to(&format!("cache {n}"), archive.address(), &who);
-        let caches: Vec<Line> = (0..plan.sites * BOXES + 2).map(line).collect();
-        let journal = Journal::start();
+        let mut archive = Archive::start(plan.archive, &record, &who);
+        let mut line = |n: usize| Line::to(&format!("cache {n}"), archive.door(n), &who);
+        let caches: Vec<Line> = (0..plan.sites * BOXES + 2).map(&mut line).collect();
+        let journal = News::start(plan.sites, &record, &who);
         let news = Line::to("journal", journal.address(), &who);
-        journal.tell(&hosts(true, &settings::hosts(plan, |n| caches[n].address)));
+        let hosts = settings::hosts(plan, |n| caches[n].address);
+        journal.hosts(true, &hosts);
+        let serves: Vec<SocketAddr> = (0..plan.processes).map(|_| free()).collect();
         let own: Vec<SocketAddr> = (0..plan.processes).map(|_| free()).collect();
         let count = if plan.fleet { plan.processes } else { 0 };
         let peer = |from: usize, to: usize| Line::to(&format!("n{from} to n{to}"), own[to], &who);
@@ -84,14 +91,30 @@
             };
             let key_file = key_file.display().to_string();
             let operator = peers.get(process).map(addresses);
-            let operator = operator.map(|to| settings::operator(plan, own[process], &to, &key_file));
+            let operator =
+                operator.map(|to| settings::operator(plan, [own[process], serves[process]], &to, &key_file));
             let config = settings::config(plan, process, listen, news.address, &journal.known());
             let (name, folder) = (settings::name(process), folder.join(settings::name(process)));
             Spec { program: program.clone(), number: process, name, config, operator, listen, folder }
         };
         let specs: Vec<Spec> = (0..plan.processes).map(spec).collect();
         let running = (0..plan.processes).map(|_| Mutex::default()).collect();
-        let fleet = Fleet { running, specs, peers, caches, news, journal, archive, record, who, folder };
+        let sites = plan.sites;
+        let fleet = Fleet {
+            running,
+            specs,
+            peers,
+            caches,
+            news,
+            journal,
+            serves,
+            hosts,
+            sites,
+            archive,
+            record,
+            who,
+            folder,
+        };
         (0..plan.processes).try_for_each(|n| fleet.restart(n))?;
         (0..plan.processes).try_for_each(|n| fleet.well(n))?;
         Ok(fleet)
@@ -111,6 +134,7 @@
         if slot.is_none() {
             *slot = Some(Process::start(&self.specs[process], &self.who, SOON)?);
             self.record.add(Event::Started { process });
+            self.reads(process, true);
         }
         Ok(())
     }
@@ -124,6 +148,7 @@
             // Written down first, so that nothing that follows from it comes before it.
             self.record.add(Event::Killed { process });
             running.kill();
+            self.reads(process, false);
         }
     }
 
@@ -148,6 +173,7 @@
         let leaving = self.slot(process).take().ok_or("it is down")?;
         let ended = leaving.ended(SOON);
         self.record.add(Event::Ended { process });
+        self.reads(process, false);
         ended
     }
 
@@ -213,7 +239,7 @@
         &self.archive
     }
 
-    pub fn journal(&self) -> &Journal {
+    pub fn journal(&self) -> &News {
         &self.journal
     }
 
--- a/rigs/rig/src/lib.rs
+++ b/rigs/rig/src/lib.rs
@@ -2,7 +2,7 @@
 //! reads the record of it.
 //!
 //! Owns: the processes ([`process`], [`fleet`]), the lines ([`line`], [`who`]), the archive that audits by key
-//! ([`archive`]), those who ask ([`customer`]), the faults and their order ([`schedule`], [`faults`]), the record ([`record`])
+//! ([`archive`]), the journal service that counts ([`news`]) and its readers ([`readers`]), those who ask ([`customer`]), the faults and their order ([`schedule`], [`faults`]), the record ([`record`])
 //! and the one place where all invariants are checked ([`check`]). May not: decide anything for the program, reach into
 //! it other than by its sockets, signals, files and log, or signal a process that it didn't start.
 
@@ -14,11 +14,16 @@
 pub mod fleet;
 pub mod gate;
 pub mod line;
+pub mod news;
+pub mod place;
 pub mod process;
 pub mod pump;
+pub mod reader;
+pub mod readers;
 pub mod record;
 pub mod schedule;
 pub mod settings;
+pub mod streams;
 pub mod who;
 pub mod wired;
 
--- a/rigs/rig/src/record.rs
+++ b/rigs/rig/src/record.rs
@@ -149,12 +149,39 @@
         epoch: u64,
         number: u64,
     },
+    /// The next of a reader's own numbers.
+    Numbered {
+        stream: String,
+        reader: u64,
+        number: u64,
+    },
+    /// A reader was told a list, or a line of it, of this index.
+    Listed {
+        stream: String,
+        reader: u64,
+        index: u64,
+    },
     Parted {
         stream: String,
         site: String,
         reader: u64,
     },
 
+    // Caches, and what they are asked. The source told it now.
+    Drained {
+        cache: usize,
+    },
+    Purged {
+        object: u64,
+    },
+    /// A request at a cache; how old a copy may be.
+    Came {
+        cache: usize,
+        by: Option<usize>,
+        object: u64,
+        max_age_ms: Option<u64>,
+    },
+
     // Slots of pools, as their other side sees them.
     Cap {
         pool: String,
--- a/rigs/rig/src/settings.rs
+++ b/rigs/rig/src/settings.rs
@@ -68,8 +68,9 @@
     )
 }
 
-/// The operator's file of one process: the fleet as it sees it, each peer by the line to it; then the plan's own lines.
-pub fn operator(plan: &Plan, own: SocketAddr, peers: &[SocketAddr], key_file: &str) -> String {
+/// The operator's file of one process: the fleet as it sees it, each peer by the line to it; then the plan's own lines,
+/// where `{serve}` stands for where this process serves its site.
+pub fn operator(plan: &Plan, [own, serve]: [SocketAddr; 2], peers: &[SocketAddr], key_file: &str) -> String {
     let mut text = format!(
         "fleet(listen = \"{own}\", key_file = \"{key_file}\", lease_ms = {}, drift_percent = 1.0)\n",
         plan.lease.as_millis()
@@ -79,5 +80,5 @@
         text += &format!("peer(\"{name}\", address = \"{address}\", site = \"{site}\")\n");
     }
     (0..plan.seats).for_each(|n| text += &format!("seat(\"{}\")\n", name(n)));
-    text + &plan.operator
+    text + &plan.operator.replace("{serve}", &serve.to_string())
 }
