--- a/edge/proxy/src/journal.rs
+++ b/edge/proxy/src/journal.rs
@@ -226,6 +226,12 @@
         let reusable = response.reusable;
         let feed: Feed = simd_json::serde::from_slice(&mut buffer[response.body])
             .map_err(|e| format!("an answer that can't be read: {e}"))?;
+        // One that starts again counts from 1: asked from there it tells all that it has.
+        if self.shared.is_some() && feed.pos < self.pos {
+            tracing::warn!("journal service: it starts again at {}, after {}", feed.pos, self.pos);
+            self.pos = 0;
+            return Ok(());
+        }
         if !self.take(&feed) {
             return Err(format!("events after {} are missing or can't be read", self.pos));
         }
--- a/edge/proxy/src/relayed.rs
+++ b/edge/proxy/src/relayed.rs
@@ -21,14 +21,14 @@
 pub const BYTE: u8 = 2;
 /// Told to one reader ahead of what it took: some hundred events, as an answer of the journal holds at a busy start.
 const AHEAD: u64 = 256;
-/// Readers of this process: connections of hubs and instances, and its own.
-const READERS: usize = 256;
 /// A relay moves for slowness at most once in so long: many leases, and short against a day.
 const HOLD: Duration = Duration::from_secs(10);
 
 pub struct Relayed {
     pub desk: Arc<Desk>,
     serve: Option<SocketAddr>,
+    /// Connections of hubs and instances: this process's own reader is one too.
+    most: usize,
 }
 
 impl Relayed {
@@ -49,7 +49,7 @@
             drift: Drift::percent(said.drift_percent).map_err(|why| format!("fleet: {why}"))?,
             lease: said.lease_ms * 1_000,
             streams: vec![stream(journal)],
-            readers: READERS,
+            readers: journal.readers as usize,
             fed: said.peers.len(),
             hold: HOLD.as_micros() as u64,
             seed,
@@ -58,14 +58,18 @@
         let tells = Tells(desk.clone());
         // Until its reader is fed the process reads the source, as one without a fleet does.
         desk.gate.without(true);
-        Ok(Some((Relayed { desk, serve: journal.serve }, Relay::new(setup, 0), tells)))
+        Ok(Some((
+            Relayed { desk, serve: journal.serve, most: journal.readers as usize - 1 },
+            Relay::new(setup, 0),
+            tells,
+        )))
     }
 
     /// The part is in service. `journal`: a clone of the one that reads the source, after [`Journal::share`].
     pub fn start(&self, port: Port<Ask>, journal: Journal, seed: u64) -> Result<(), String> {
         self.desk.begin(port);
         if let Some(on) = self.serve {
-            let served = serve::serve(&self.desk, on, READERS - 1);
+            let served = serve::serve(&self.desk, on, self.most);
             let on = served.map_err(|e| format!("stream journal: listening on {on}: {e}"))?;
             tracing::info!("the journal is served to the site on {on}");
         }
--- a/rigs/lab/src/fanout/links.rs
+++ b/rigs/lab/src/fanout/links.rs
@@ -1,6 +1,7 @@
 //! What the parts want done: messages on links, polls of the source, news for subscribers.
 
-use super::world::{What, World, MS, NAME, WAIT};
+use super::queue::What;
+use super::world::{World, MS, NAME, WAIT};
 use foldmux_relay::{Act, Ask, Item, Relay, Told};
 use foldmux_seats::{Do, Part};
 
--- a/rigs/lab/src/fanout/mod.rs
+++ b/rigs/lab/src/fanout/mod.rs
@@ -5,6 +5,7 @@
 mod links;
 mod picture;
 mod play;
+mod queue;
 mod subscribers;
 mod world;
 
--- a/rigs/lab/src/fanout/play.rs
+++ b/rigs/lab/src/fanout/play.rs
@@ -1,6 +1,7 @@
 //! A day of it: churn all the while, and every few seconds the relays of some sites are killed, or leave.
 
-use super::world::{What, World, MS};
+use super::queue::What;
+use super::world::{World, MS};
 use foldmux_relay::Ask;
 use foldmux_seats::Time;
 use hdrhistogram::Histogram;
--- a/rigs/lab/src/fanout/world.rs
+++ b/rigs/lab/src/fanout/world.rs
@@ -1,12 +1,12 @@
 //! Instances in virtual time and what waits to happen to them.
 
 use super::play::Plan;
+use super::queue::{Next, What};
 use super::subscribers::Subscribers;
-use foldmux_relay::{Ask, First, Item, Message, Relay, Setup, Slow, Stream};
+use foldmux_relay::{Ask, First, Item, Relay, Setup, Slow, Stream};
 use foldmux_seats::{Drift, Part, Peer, Seats, Time};
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use std::cmp::Ordering;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::sync::Arc;
 
@@ -28,47 +28,6 @@
     pub tick_at: Time,
 }
 
-pub enum What {
-    Hear(usize, usize, Message),
-    Tick(usize),
-    /// A poll that comes to the source; what it answers, up to there; its end without news.
-    Poll(usize, u64),
-    Answer(usize, u64, usize),
-    Quiet(usize, u64),
-    /// A subscriber whose instance went comes back.
-    Back(usize),
-    End(usize),
-    Begin(usize),
-}
-
-struct Next {
-    time: Time,
-    order: u64,
-    life: u64,
-    what: What,
-}
-
-impl PartialEq for Next {
-    fn eq(&self, other: &Next) -> bool {
-        self.cmp(other) == Ordering::Equal
-    }
-}
-
-impl Eq for Next {}
-
-impl PartialOrd for Next {
-    fn partial_cmp(&self, other: &Next) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Next {
-    /// The soonest is the greatest.
-    fn cmp(&self, other: &Next) -> Ordering {
-        (other.time, other.order).cmp(&(self.time, self.order))
-    }
-}
-
 pub struct World {
     pub now: Time,
     pub plan: Plan,
--- a/rigs/rig/src/fleet.rs
+++ b/rigs/rig/src/fleet.rs
@@ -2,7 +2,7 @@
 
 use crate::archive::{Archive, Policy};
 use crate::customer::Customer;
-use crate::line::{Control, Line, Way};
+use crate::line::Line;
 use crate::news::News;
 use crate::process::{free, program, Process, Spec};
 use crate::record::{Event, Record};
@@ -47,9 +47,9 @@
     running: Vec<Mutex<Option<Process>>>,
     specs: Vec<Spec>,
     /// By who dials, then by who is dialled.
-    peers: Vec<Vec<Line>>,
-    caches: Vec<Line>,
-    news: Line,
+    pub(crate) peers: Vec<Vec<Line>>,
+    pub(crate) caches: Vec<Line>,
+    pub(crate) news: Line,
     journal: News,
     /// Where each process serves the journal, where the plan's lines say so.
     pub(crate) serves: Vec<SocketAddr>,
@@ -192,45 +192,6 @@
         ended
     }
 
-    /// Cuts what `from` sends to its peer `to`, whoever dialled; with [`Way::Both`], what it hears as well.
-    pub fn cut(&self, from: usize, to: usize, way: Way) {
-        let (line, way_word) = (format!("n{from} to n{to}"), way.word().to_string());
-        self.record.add(Event::Cut { line, way: way_word });
-        let turned = [Way::Back, Way::There, Way::Both][way as usize];
-        if let (Some(there), Some(back)) = (self.line(from, to), self.line(to, from)) {
-            there.cut(way);
-            back.cut(turned);
-        }
-    }
-
-    pub fn heal(&self, from: usize, to: usize) {
-        self.record.add(Event::Healed { line: format!("n{from} to n{to}") });
-        [self.line(from, to), self.line(to, from)].into_iter().flatten().for_each(|line| line.heal());
-    }
-
-    /// Cuts a process off from all caches and sources, or heals that.
-    pub fn cut_archive(&self, process: usize, cut: Option<Way>) {
-        let line = format!("n{process} to the archive");
-        self.record.add(match cut {
-            Some(way) => Event::Cut { line, way: way.word().to_string() },
-            None => Event::Healed { line },
-        });
-        self.caches.iter().map(|line| line.of(process)).for_each(|own| match cut {
-            Some(way) => own.cut(way),
-            None => own.heal(),
-        });
-    }
-
-    /// Between two peers, as the first dials; none where they are no fleet.
-    pub fn line(&self, from: usize, to: usize) -> Option<Control<'_>> {
-        self.peers.get(from)?.get(to).map(Line::all)
-    }
-
-    /// A process's line to the journal service.
-    pub fn news(&self, process: usize) -> Control<'_> {
-        self.news.of(process)
-    }
-
     pub fn caches(&self) -> &[Line] {
         &self.caches
     }
@@ -255,6 +216,10 @@
         Customer::new(self.specs.iter().map(|spec| spec.listen).collect(), &self.record, patience)
     }
 
+    pub fn id(&self, process: usize) -> Option<u32> {
+        self.slot(process).as_ref().map(Process::id)
+    }
+
     /// What a process's log says; none while it is down.
     pub fn log(&self, process: usize) -> Vec<String> {
         self.slot(process).as_ref().map(|running| running.log.all()).unwrap_or_default()
--- a/rigs/rig/src/lib.rs
+++ b/rigs/rig/src/lib.rs
@@ -9,7 +9,9 @@
 pub mod archive;
 pub mod check;
 pub mod customer;
+pub mod cuts;
 pub mod demo;
+pub mod event;
 pub mod faults;
 pub mod fleet;
 pub mod gate;
--- a/shared/operator/src/script/fleet.rs
+++ b/shared/operator/src/script/fleet.rs
@@ -174,6 +174,7 @@
         #[starlark(require = named, default = 10_000i64)] window_ms: i64,
         #[starlark(require = named, default = 4_096i64)] items: i64,
         #[starlark(require = named, default = 1_024i64)] kb: i64,
+        #[starlark(require = named, default = 256i64)] readers: i64,
         #[starlark(require = named, default = NoneOr::None)] serve: NoneOr<&str>,
         eval: &mut Evaluator,
     ) -> anyhow::Result<NoneType> {
@@ -188,6 +189,7 @@
             window_ms: whole("window_ms", window_ms)?,
             items: whole("items", items)?,
             kb: whole("kb", kb)?,
+            readers: whole("readers", readers)?,
             serve: addressed("serve", serve)?,
         })?;
         add(|parts| &mut parts.streams, |stream| &stream.name, ("stream", here(eval)), stream)
--- a/shared/operator/src/values/fleet.rs
+++ b/shared/operator/src/values/fleet.rs
@@ -107,6 +107,9 @@
     pub items: u64,
     #[garde(range(min = 1, max = 1_048_576))]
     pub kb: u64,
+    /// Readers of this process at one time, its own too.
+    #[garde(range(min = 2, max = 65_535))]
+    pub readers: u64,
     /// Where this process serves it to readers of its site that are no peers, such as hubs.
     pub serve: Option<SocketAddr>,
 }
