--- a/edge/proxy/src/cover/log.rs
+++ b/edge/proxy/src/cover/log.rs
@@ -2,7 +2,7 @@
 //! Written to the kernel before a reply leaves, which a killed process does not undo. A machine that starts anew is told
 //! by its boot's id, and nothing is read back then. The file of the greatest number counts, and one process holds it.
 
-use foldmux_takeover::{Key, Kept};
+use foldmux_takeover::{Kept, Key};
 use nix::time::{clock_gettime, ClockId};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -116,7 +116,8 @@
         // Behind what was torn off nothing could be read.
         let length = (bytes.len() - from.len()) as u64;
         file.set_len(length)?;
-        let aged = |(key, (stamp, one)): (Key, (u64, Kept))| Some((key, one.aged(now.saturating_sub(stamp))?));
+        let aged =
+            |(key, (stamp, one)): (Key, (u64, Kept))| Some((key, one.aged(now.saturating_sub(stamp))?));
         let found = Found {
             speaks_in: first.speaks.saturating_sub(now),
             kept: kept.into_iter().filter_map(aged).collect(),
@@ -153,7 +154,8 @@
 
     /// Whether another process is this seat by now.
     pub fn passed(&self) -> bool {
-        !named(&self.folder, self.number).exists()
+        let later = numbers(&self.folder).is_ok_and(|all| all.into_iter().any(|other| other > self.number));
+        later || !named(&self.folder, self.number).exists()
     }
 
     /// Whether it is so long that it should be written anew.
@@ -170,6 +172,9 @@
 
     /// Anew, with all that holds. Fails where another process has gone on.
     pub fn anew(&mut self, all: &[(Key, Kept)]) -> io::Result<()> {
+        if self.passed() {
+            return Err(io::Error::other("another process goes on"));
+        }
         let First { boot, mark, speaks } = &self.first;
         let first = First { boot: boot.clone(), mark: mark.clone(), speaks: *speaks };
         let log = Log::begin(&self.folder, self.number + 1, first, all)?;
@@ -182,3 +187,7 @@
         let _ = self.file.set_len(0);
     }
 }
+
+#[cfg(test)]
+#[path = "log_tests.rs"]
+mod tests;
--- /dev/null
+++ b/edge/proxy/src/cover/log_tests.rs
@@ -0,0 +1,88 @@
+//! The seat's file through starts, tears and a process beside another.
+
+use super::*;
+use foldmux_takeover::{Ballot, Kept};
+
+fn kept(term: u64) -> Kept {
+    let promised = Ballot { term, ..Ballot::none() };
+    Kept { promised, let_go: false, over: false, record: None, left: 60_000_000 }
+}
+
+fn open(folder: &Path, mark: &str) -> (Log, Found) {
+    Log::open(folder, mark.to_string(), 5_000_000).unwrap()
+}
+
+fn terms(found: &Found) -> Vec<u64> {
+    found.kept.values().map(|one| one.promised.term).collect()
+}
+
+#[test]
+fn the_next_process_reads_the_last_of_each_key_and_goes_on_being_silent() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut log, found) = open(folder.path(), "a");
+    assert_eq!((found.speaks_in, found.kept.len()), (5_000_000, 0));
+    log.add(&[(Key(1), kept(1)), (Key(2), kept(2))]).unwrap();
+    log.add(&[(Key(1), kept(3))]).unwrap();
+    drop(log);
+    let (_log, found) = open(folder.path(), "a");
+    assert_eq!(terms(&found), [3, 2]);
+    assert!(found.speaks_in > 0 && found.speaks_in <= 5_000_000);
+    assert!(found.kept[&Key(1)].left <= 60_000_000);
+}
+
+#[test]
+fn a_torn_end_is_passed_over_and_written_over() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut log, _) = open(folder.path(), "a");
+    log.add(&[(Key(1), kept(1))]).unwrap();
+    let whole = log.length;
+    log.add(&[(Key(2), kept(2))]).unwrap();
+    log.file.set_len(whole + 20).unwrap();
+    drop(log);
+    let (mut log, found) = open(folder.path(), "a");
+    assert_eq!(terms(&found), [1]);
+    log.add(&[(Key(3), kept(3))]).unwrap();
+    drop(log);
+    assert_eq!(terms(&open(folder.path(), "a").1), [1, 3]);
+}
+
+#[test]
+fn what_is_about_other_seats_or_was_spoilt_is_not_read_back() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut log, _) = open(folder.path(), "a");
+    log.add(&[(Key(1), kept(1))]).unwrap();
+    drop(log);
+    let (mut log, found) = open(folder.path(), "b");
+    assert_eq!((found.speaks_in, found.kept.len()), (5_000_000, 0));
+    log.add(&[(Key(1), kept(1))]).unwrap();
+    log.spoil();
+    drop(log);
+    assert_eq!(open(folder.path(), "b").1.kept.len(), 0);
+}
+
+#[test]
+fn one_beside_another_begins_with_no_memory_and_the_older_learns_of_it() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut old, _) = open(folder.path(), "a");
+    old.add(&[(Key(1), kept(1))]).unwrap();
+    assert!(!old.passed());
+    let (mut new, found) = open(folder.path(), "a");
+    assert_eq!((found.speaks_in, found.kept.len()), (5_000_000, 0));
+    assert!(old.passed() && !new.passed());
+    assert!(old.anew(&[(Key(1), kept(1))]).is_err());
+    new.add(&[(Key(2), kept(2))]).unwrap();
+    drop((old, new));
+    assert_eq!(terms(&open(folder.path(), "a").1), [2]);
+}
+
+#[test]
+fn written_anew_it_holds_what_it_is_given_alone() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut log, _) = open(folder.path(), "a");
+    log.add(&[(Key(1), kept(1)), (Key(2), kept(2))]).unwrap();
+    log.anew(&[(Key(2), kept(2))]).unwrap();
+    log.add(&[(Key(3), kept(3))]).unwrap();
+    assert!(!log.passed());
+    drop(log);
+    assert_eq!(terms(&open(folder.path(), "a").1), [2, 3]);
+}
--- a/pure/takeover/src/kept.rs
+++ b/pure/takeover/src/kept.rs
@@ -59,7 +59,12 @@
 
 impl Takeover {
     /// As a process that reads back what the one before it kept, and speaks in so long.
-    pub fn read_back(now: Time, setup: Setup, speaks_in: Time, kept: impl Iterator<Item = (Key, Kept)>) -> Takeover {
+    pub fn read_back(
+        now: Time,
+        setup: Setup,
+        speaks_in: Time,
+        kept: impl Iterator<Item = (Key, Kept)>,
+    ) -> Takeover {
         let lease = setup.lease;
         let mut part = Takeover::new(now, setup);
         let seat = part.seat_mut();
--- a/rigs/rig/src/customer.rs
+++ b/rigs/rig/src/customer.rs
@@ -4,6 +4,7 @@
 use foldmux_standins::rpc::{Said, Terminal};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -21,6 +22,9 @@
     pub longest: Duration,
 }
 
+/// No two requests of the rig have one id: under that of an open one a proxy takes none.
+static IDS: AtomicU64 = AtomicU64::new(1);
+
 pub struct Customer {
     addresses: Vec<SocketAddr>,
     record: Record,
@@ -45,7 +49,7 @@
             None => Terminal::connect(self.addresses[process], self.patience).ok()?,
         };
         let mut fields = BTreeMap::from([
-            ("i", format!("{:016x}", object ^ 0x5eed)),
+            ("i", format!("{:016x}", IDS.fetch_add(1, Ordering::Relaxed))),
             ("d", manner.deadline.as_millis().to_string()),
             ("o", format!("{object:016x}")),
             ("nth", "0".to_string()),
--- a/rigs/rig/src/demo.rs
+++ b/rigs/rig/src/demo.rs
@@ -22,7 +22,7 @@
         seats: PROCESSES,
         seed,
         fleet: true,
-        operator: wired::LINES.to_string(),
+        operator: wired::lines(Duration::from_secs(2)),
         ..Plan::default()
     };
     let fleet = Fleet::start(&plan)?;
--- a/rigs/rig/src/faults.rs
+++ b/rigs/rig/src/faults.rs
@@ -27,7 +27,7 @@
 
 /// After so long with no answer a customer asks elsewhere, and in all.
 const PATIENCE: Duration = Duration::from_millis(900);
-const LONGEST: Duration = Duration::from_secs(12);
+pub const LONGEST: Duration = Duration::from_secs(12);
 /// As the class's hard limit.
 const DEADLINE: Duration = Duration::from_secs(3);
 /// One in so many is a request that anyone may run again, beside the keyed ones.
@@ -39,6 +39,13 @@
     let ms = Duration::from_millis;
     let among =
         Among { processes: run.plan.processes, together: run.together, lasts: [ms(300), run.plan.lease * 3] };
+    if run.covered {
+        // Nothing of a new fleet is covered until its seats speak.
+        let manner = manner(run);
+        let first =
+            fleet.customer(LONGEST * 3).ask(0, &Manner { longest: LONGEST * 3, ..manner }, 1, &key(0, 0));
+        first.ok_or("no request was covered at the start")?;
+    }
     let steps = draw(run.plan.seed, run.span, among, run.counts);
     let (next, over, began) = (AtomicU64::new(0), AtomicBool::new(false), Instant::now());
     thread::scope(|scope| {
@@ -53,15 +60,19 @@
     Ok((fleet, check::read(&lines)))
 }
 
-fn ask_on(fleet: &Fleet, run: &Run, next: &AtomicU64, began: Instant) {
-    let mut customer = fleet.customer(PATIENCE);
-    let manner = Manner {
+fn manner(run: &Run) -> Manner {
+    Manner {
         class: KEYED.into(),
         covered: run.covered,
         patience: PATIENCE,
         deadline: DEADLINE,
         longest: LONGEST,
-    };
+    }
+}
+
+fn ask_on(fleet: &Fleet, run: &Run, next: &AtomicU64, began: Instant) {
+    let mut customer = fleet.customer(PATIENCE);
+    let manner = manner(run);
     loop {
         let number = next.fetch_add(1, Ordering::SeqCst);
         if number >= run.requests {
--- a/rigs/rig/src/lib.rs
+++ b/rigs/rig/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod archive;
 pub mod check;
+pub mod cost;
 pub mod customer;
 pub mod demo;
 pub mod faults;
--- a/rigs/rig/src/main.rs
+++ b/rigs/rig/src/main.rs
@@ -1,10 +1,10 @@
-//! `make fleet-faults` and `make demo-fleet`: real processes, faults from a seed, a table, and a verdict by exit code.
+//! `make fleet-faults`, `make demo-fleet`, what cover costs: real processes, faults from a seed, a table, and a verdict by exit code.
 
-use foldmux_rig::demo;
 use foldmux_rig::faults::{self, Run};
 use foldmux_rig::schedule::Counts;
 use foldmux_rig::wired::{self, Wired};
 use foldmux_rig::Plan;
+use foldmux_rig::{cost, demo};
 use lexopt::{Arg, ValueExt};
 use std::fs::File;
 use std::io::BufWriter;
@@ -15,6 +15,7 @@
 const USAGE: &str = "\
 foldmux-rig faults [--seconds N] [--seed N] [--processes N] [--requests N] [--alone] [--record FILE]
 foldmux-rig demo [--seconds N] [--seed N] [--record FILE]
+foldmux-rig cost [--requests N] [--seed N]
 
   --alone   no fleet: what is lost and run twice without it
 The program is the foldmux beside this one, or what FOLDMUX names.";
@@ -58,6 +59,7 @@
 fn main() -> ExitCode {
     let ran = read().map_err(|e| e.to_string()).and_then(|line| match line.command.as_str() {
         "faults" => broken(&line),
+        "cost" => cost::told(line.requests.unwrap_or(1_000), line.seed),
         "demo" => {
             demo::play(line.seed, Duration::from_secs(if line.seconds == 0 { 30 } else { line.seconds }))
         }
@@ -92,7 +94,7 @@
         seats: line.processes,
         seed: line.seed,
         fleet,
-        operator: if fleet { wired::LINES.to_string() } else { String::new() },
+        operator: if fleet { wired::lines(faults::LONGEST) } else { String::new() },
         ..Plan::default()
     };
     let run = Run {
--- a/rigs/rig/src/wired.rs
+++ b/rigs/rig/src/wired.rs
@@ -3,13 +3,18 @@
 use crate::check::Verdict;
 use crate::fleet::Fleet;
 use std::fmt;
+use std::time::Duration;
 
-/// The operator's lines of a rig's fleet, behind its peers and seats.
-pub const LINES: &str = "\
-cover(\"mix-record\", uncovered = \"refuse\", unclaimed = \"finish\", keep_ms = 12000, terms = True)
-stream(\"journal\", slow = \"all\")
-pool(\"archive\", slots = 64, by = \"tenant\")
-";
+/// The operator's lines of a rig's fleet, behind its peers and seats. `keep`: as long as its clients come again; a seat with
+/// no memory is silent for longer than that.
+pub fn lines(keep: Duration) -> String {
+    format!(
+        "cover(\"mix-record\", uncovered = \"refuse\", unclaimed = \"finish\", keep_ms = {}, terms = True)\n\
+         stream(\"journal\", slow = \"all\")\n\
+         pool(\"archive\", slots = 64, by = \"tenant\")\n",
+        keep.as_millis()
+    )
+}
 
 /// What a part's line in the log has in it.
 const WORDS: [(&str, &str); 4] = [
--- a/rigs/rig/tests/common/mod.rs
+++ b/rigs/rig/tests/common/mod.rs
@@ -7,7 +7,7 @@
 use foldmux_rig::record::{Event, Outcome};
 use foldmux_rig::settings::KEYED;
 use foldmux_rig::{wired, Fleet, Plan};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 pub const SHORT: Duration = Duration::from_millis(700);
 pub const LONG: Duration = Duration::from_secs(15);
@@ -18,22 +18,49 @@
     Manner { class: KEYED.into(), covered: true, patience, deadline, longest: LONG }
 }
 
-/// Nothing of a new fleet is covered until its seats have a memory: the first request that is served tells.
+/// Requests of a new fleet, whose seats are silent at first: any three of the seats are those of one.
+pub const FIRST: u64 = 32;
+
+/// Nothing of a new fleet is covered until its seats speak: first requests that are all served tell.
 pub fn covered(processes: usize, window: Option<Duration>) -> Fleet {
     let archive = Policy { window, ..Policy::default() };
     let plan = Plan {
         processes,
         seats: processes,
         fleet: true,
-        operator: wired::LINES.into(),
+        operator: wired::lines(Duration::from_secs(2)),
         archive,
         ..Plan::default()
     };
     let fleet = Fleet::start(&plan).unwrap();
-    assert_eq!(fleet.customer(LONG).ask(0, &manner(LONG), 1, &key(0, 0)), Some(Outcome::Served));
+    std::thread::scope(|scope| {
+        for n in 0..FIRST {
+            let mut customer = fleet.customer(LONG);
+            scope.spawn(move || {
+                assert_eq!(customer.ask(0, &manner(LONG), n, &key(0, n)), Some(Outcome::Served))
+            });
+        }
+    });
     fleet
 }
 
+/// Who brings a key to the archive next, beside those who did; waited for.
+pub fn successor(fleet: &Fleet, name: &str, former: &[usize]) -> usize {
+    let until = Instant::now() + LONG;
+    while Instant::now() < until {
+        let lines = fleet.record().lines().unwrap();
+        let next = lines.iter().find_map(|line| match &line.event {
+            Event::Reached { key, by: Some(by), .. } if key == name && !former.contains(by) => Some(*by),
+            _ => None,
+        });
+        if let Some(next) = next {
+            return next;
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    panic!("nobody goes on with {name} after {former:?}");
+}
+
 /// How often a key was brought to the archive, and how often it ran.
 pub fn brought(fleet: &Fleet, name: &str) -> (usize, u64) {
     let lines = fleet.record().lines().unwrap();
--- a/rigs/rig/tests/takeover.rs
+++ b/rigs/rig/tests/takeover.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{brought, covered, served, sound, LONG, SHORT};
+use common::{brought, covered, served, sound, successor, LONG, SHORT};
 use foldmux_rig::customer::{key, Customer};
 use foldmux_rig::gate::Point;
 use foldmux_rig::line::{Line, Way};
@@ -121,13 +121,16 @@
     thread::scope(|scope| {
         let asks = scope.spawn(|| served(&mut fleet.customer(SHORT), 0, SHORT, &name));
         assert!(gate.reached(1));
-        fleet.kill(0);
-        fleet.kill(1);
+        let mut owners = vec![0];
+        for _ in 0..2 {
+            let last = owners[owners.len() - 1];
+            fleet.kill(last);
+            fleet.restart(last).unwrap();
+            owners.push(successor(&fleet, &name, &owners));
+        }
         gate.open();
         asks.join().unwrap();
     });
-    fleet.restart(0).unwrap();
-    fleet.restart(1).unwrap();
     assert_eq!(brought(&fleet, &name).1, 1);
     sound(&fleet);
 }
