--- a/edge/proxy/src/cover/log.rs
+++ b/edge/proxy/src/cover/log.rs
@@ -1,6 +1,7 @@
 //! What this process's seat promised, on a file that outlives the process: its next start reads it back and speaks at once.
 //! Written to the kernel before a reply leaves, which a killed process does not undo. A machine that starts anew is told
-//! by its boot's id, and nothing is read back then. The file of the greatest number counts, and one process holds it.
+//! by its boot's id, and nothing is read back then. The file of the greatest number counts, and the process
+//! that holds it locked is the seat: one beside it waits.
 
 use foldmux_takeover::{Kept, Key};
 use nix::time::{clock_gettime, ClockId};
@@ -16,6 +17,8 @@
 const HEAD: usize = 12;
 /// Starts at one moment that may each take the next number.
 const TRIES: usize = 16;
+/// There while a process waits for the one that holds the file.
+const WAITS: &str = "waits";
 
 #[derive(Serialize, Deserialize, PartialEq)]
 struct First {
@@ -36,6 +39,15 @@
     longest: u64,
 }
 
+/// What there is of a process before this one.
+enum Past {
+    Read(Log, Found),
+    Held,
+    /// It went on to another file.
+    Passed,
+    Nothing,
+}
+
 /// What a start finds: from when it speaks (us from now), and what was kept.
 pub struct Found {
     pub speaks_in: u64,
@@ -77,37 +89,66 @@
 }
 
 impl Log {
-    /// `window`: how long a seat with no memory is silent (us). Fails where the folder can't be used.
-    pub fn open(folder: &Path, mark: String, window: u64) -> io::Result<(Log, Found)> {
+    /// None while another process holds it. `window`: how long a seat with no memory is silent (us). Fails where the
+    /// folder can't be used.
+    pub fn open(folder: &Path, mark: &str, window: u64) -> io::Result<Option<(Log, Found)>> {
         fs::create_dir_all(folder)?;
         let boot = fs::read_to_string("/proc/sys/kernel/random/boot_id")?;
         for _ in 0..TRIES {
             let last = numbers(folder)?.into_iter().max().unwrap_or(0);
-            if let Some(read) = Log::go_on(folder, last, &boot, &mark)? {
-                return Ok(read);
-            }
-            // Another holds it, or nothing in it counts: silent for a window, as one with no memory.
-            let first = First { boot: boot.clone(), mark: mark.clone(), speaks: machine() + window };
-            if let Some(log) = Log::begin(folder, last + 1, first, &[])? {
-                return Ok((log, Found { speaks_in: window, kept: BTreeMap::new() }));
+            match Log::go_on(folder, last, &boot, mark)? {
+                Past::Read(log, found) => {
+                    let _ = fs::remove_file(folder.join(WAITS));
+                    return Ok(Some((log, found)));
+                }
+                Past::Held => {
+                    fs::write(folder.join(WAITS), "")?;
+                    return Ok(None);
+                }
+                Past::Passed => {}
+                Past::Nothing => {
+                    if let Some(log) = Log::fresh(folder, last, mark, window)? {
+                        return Ok(Some((log, Found { speaks_in: window, kept: BTreeMap::new() })));
+                    }
+                }
             }
         }
         Err(io::Error::other("others start all the while"))
     }
 
-    fn go_on(folder: &Path, number: u64, boot: &str, mark: &str) -> io::Result<Option<(Log, Found)>> {
+    /// Behind one that is held and has not been given up while this process was silent for a window.
+    pub fn pass(folder: &Path, mark: &str) -> io::Result<Option<Log>> {
+        let last = numbers(folder)?.into_iter().max().unwrap_or(0);
+        Log::fresh(folder, last, mark, 0)
+    }
+
+    fn fresh(folder: &Path, last: u64, mark: &str, silent: u64) -> io::Result<Option<Log>> {
+        let boot = fs::read_to_string("/proc/sys/kernel/random/boot_id")?;
+        let first = First { boot, mark: mark.to_string(), speaks: machine() + silent };
+        Log::begin(folder, last + 1, first, &[])
+    }
+
+    /// Whether another process waits to be this seat.
+    pub fn wanted(&self) -> bool {
+        self.folder.join(WAITS).exists()
+    }
+
+    fn go_on(folder: &Path, number: u64, boot: &str, mark: &str) -> io::Result<Past> {
         let Ok(mut file) = OpenOptions::new().read(true).append(true).open(named(folder, number)) else {
-            return Ok(None);
+            return Ok(Past::Nothing);
         };
+        if file.try_lock().is_err() {
+            return Ok(Past::Held);
+        }
         // Looked at again once it is held: whoever held it may have gone on to the next.
-        if file.try_lock().is_err() || numbers(folder)?.into_iter().any(|other| other > number) {
-            return Ok(None);
+        if numbers(folder)?.into_iter().any(|other| other > number) {
+            return Ok(Past::Passed);
         }
         let mut bytes = Vec::new();
         io::Read::read_to_end(&mut file, &mut bytes)?;
         let (mut from, now) = (&bytes[..], machine());
         let Some(first) = next::<First>(&mut from).filter(|f| f.boot == boot && f.mark == mark) else {
-            return Ok(None);
+            return Ok(Past::Nothing);
         };
         let mut kept = BTreeMap::new();
         while let Some((stamp, key, one)) = next::<(u64, Key, Kept)>(&mut from) {
@@ -123,7 +164,7 @@
             kept: kept.into_iter().filter_map(aged).collect(),
         };
         let longest = LEAST.max(4 * length);
-        Ok(Some((Log { folder: folder.to_path_buf(), number, file, first, length, longest }, found)))
+        Ok(Past::Read(Log { folder: folder.to_path_buf(), number, file, first, length, longest }, found))
     }
 
     /// None where another has the number by now.
--- a/pure/takeover/src/kept.rs
+++ b/pure/takeover/src/kept.rs
@@ -58,16 +58,22 @@
 }
 
 impl Takeover {
-    /// As a process that reads back what the one before it kept, and speaks in so long.
+    /// With a seat that reads back what the process before it kept, and speaks in so long.
     pub fn read_back(
         now: Time,
         setup: Setup,
         speaks_in: Time,
         kept: impl Iterator<Item = (Key, Kept)>,
     ) -> Takeover {
-        let lease = setup.lease;
         let mut part = Takeover::new(now, setup);
-        let seat = part.seat_mut();
+        part.remember(now, speaks_in, kept);
+        part
+    }
+
+    /// The same later, for a seat that was mute until now. From here on it says what is to be kept.
+    pub fn remember(&mut self, now: Time, speaks_in: Time, kept: impl Iterator<Item = (Key, Kept)>) {
+        let lease = self.lease_time();
+        let seat = self.seat_mut();
         seat.memory = Memory::whole(now.saturating_add(speaks_in));
         seat.changed = Some(Default::default());
         for (key, kept) in kept {
@@ -76,7 +82,6 @@
             seat.held.insert(key, held);
             seat.arm(key);
         }
-        part
     }
 
     /// What has changed since this was last asked: to be kept before a message leaves. None: nothing is kept.
--- a/pure/takeover/src/part.rs
+++ b/pure/takeover/src/part.rs
@@ -43,6 +43,10 @@
         Takeover { seat: Seat::new(now, &setup), owner: Owner::new(setup.seed), setup, alive }
     }
 
+    pub(crate) fn lease_time(&self) -> Time {
+        self.setup.lease
+    }
+
     pub(crate) fn seat(&self) -> &Seat {
         &self.seat
     }
