--- a/rigs/rig/src/lib.rs
+++ b/rigs/rig/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod archive;
 pub mod check;
+pub mod cost;
 pub mod customer;
 pub mod cuts;
 pub mod demo;
