--- a/edge/core/tests/reports.rs
+++ b/edge/core/tests/reports.rs
@@ -39,7 +39,8 @@
 }
 
 fn rig() -> Rig {
-    let decoded = foldmux_settings::parse(SETTINGS).unwrap();
+    let mut decoded = foldmux_settings::parse(SETTINGS).unwrap();
+    decoded.reports.acted_on = true;
     let beside = Beside::new(decoded.reports, &decoded.settings).expect("reports");
     let router = Router::new(decoded.settings, 1);
     let (mut desk, handle) = Desk::new(router, Clock::default(), Arc::new(Members::default()));
--- a/edge/proxy/src/reports.rs
+++ b/edge/proxy/src/reports.rs
@@ -19,14 +19,15 @@
     upstream: Upstream,
 ) -> Result<Box<dyn Tries>, String> {
     let Some(beside) = Beside::new(setup.clone(), settings) else { return Ok(Box::new(upstream)) };
-    let Setup { fields, in_answers, probes, patience, .. } = setup;
+    let asks = setup.asks();
+    let Setup { fields, in_answers, patience, .. } = setup;
     let prober = || {
         let (members, pool) = (upstream.members.clone(), upstream.pool.clone());
         let desk = handle.clone();
         let hears = move |cache, start, well, load| desk.tell(Notice::Probed { cache, start, well, load });
         Prober::start(members, pool, Arc::new(hears), fields.clone(), span(patience))
     };
-    let prober = probes.then(prober).transpose()?;
+    let prober = asks.then(prober).transpose()?;
     desk.report_to(beside, prober.map(|prober| Box::new(prober) as Box<dyn Probes>));
     if !in_answers || fields.is_empty() {
         return Ok(Box::new(upstream));
--- a/edge/simhost/src/host.rs
+++ b/edge/simhost/src/host.rs
@@ -16,15 +16,16 @@
 #[derive(Default)]
 pub struct Host {
     deaf: bool,
-    no_probes: bool,
+    probes: bool,
     instances: BTreeMap<u32, Instance>,
     actions: Vec<Action>,
 }
 
 impl Host {
-    /// Reports and probes, or probes alone, left aside whatever the settings say: to compare.
-    pub fn new(deaf: bool, no_probes: bool) -> Host {
-        Host { deaf, no_probes, ..Host::default() }
+    /// To compare: reports and probes left aside whatever the settings say, or probes sent where settings and price
+    /// allow them, as if the router went by what they find.
+    pub fn new(deaf: bool, probes: bool) -> Host {
+        Host { deaf, probes, ..Host::default() }
     }
 
     /// Plays one batch and gives the reply's frame, or one plain line on what is wrong.
@@ -33,7 +34,7 @@
         for (instance, incoming) in decode(body, records).map_err(|e| e.to_string())? {
             if let Incoming::Start { seed, settings } = &incoming {
                 let mut decoded = settings::parse(settings)?;
-                decoded.reports.probes &= !self.no_probes;
+                decoded.reports.acted_on |= self.probes;
                 let beside = Beside::new(decoded.reports, &decoded.settings).filter(|_| !self.deaf);
                 let router = Router::new(decoded.settings, *seed);
                 self.instances.insert(instance, Instance { router, beside });
--- a/edge/simhost/src/main.rs
+++ b/edge/simhost/src/main.rs
@@ -2,11 +2,11 @@
 use std::io::{self, BufReader, BufWriter};
 use std::process::ExitCode;
 
-/// `--deaf`: load reports and probes are left aside; `--no-probes`: probes alone. Both are there to compare by.
+/// `--deaf`: load reports are left aside; `--probes`: probes are sent where they may pay. Both are there to compare by.
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let has = |word: &str| arguments.iter().any(|argument| argument == word);
-    let host = Host::new(has("--deaf"), has("--no-probes"));
+    let host = Host::new(has("--deaf"), has("--probes"));
     let input = BufReader::with_capacity(1 << 20, io::stdin().lock());
     match foldmux_simhost::run_on(host, input, BufWriter::new(io::stdout().lock())) {
         Ok(()) => ExitCode::SUCCESS,
--- a/pure/reports/src/ear.rs
+++ b/pure/reports/src/ear.rs
@@ -26,6 +26,8 @@
     /// Answers carry them; else probes alone do.
     pub in_answers: bool,
     pub probes: bool,
+    /// The router places by crowding: else no answer can change a choice, and no probe pays.
+    pub acted_on: bool,
     /// Points of service in 1 that one probe a request costs.
     pub price: f64,
     /// Longest wait for a probe's answer (us).
@@ -37,7 +39,12 @@
 impl Setup {
     /// Reports or probes are of use here: else there is nothing to keep.
     pub fn is_wanted(&self) -> bool {
-        (self.in_answers && !self.fields.is_empty()) || self.probes
+        (self.in_answers && !self.fields.is_empty()) || self.asks()
+    }
+
+    /// Probes may be sent, and may pay.
+    pub fn asks(&self) -> bool {
+        self.probes && self.acted_on
     }
 }
 
@@ -85,7 +92,7 @@
     /// None where the settings have neither reports nor probes.
     pub fn new(setup: Setup) -> Option<Ear> {
         let reports = Reports::new(setup.least_aim as f64);
-        let asking = Asking::new(setup.probes, setup.price, setup.patience);
+        let asking = Asking::new(setup.asks(), setup.price, setup.patience);
         setup.is_wanted().then(|| Ear {
             setup,
             reports,
--- a/pure/reports/tests/ear.rs
+++ b/pure/reports/tests/ear.rs
@@ -11,6 +11,7 @@
         fields: Fields::new(["util", "inflight"]),
         in_answers: true,
         probes: true,
+        acted_on: true,
         price: 0.0,
         patience: 250 * MS,
         least_aim: 300 * MS,
@@ -56,6 +57,10 @@
     assert!(Ear::new(Setup { in_answers: true, ..Setup::default() }).is_none(), "no field is named");
     assert!(Ear::new(Setup { in_answers: false, probes: false, ..setup() }).is_none());
     assert!(Ear::new(Setup { in_answers: false, ..setup() }).is_some(), "probes alone");
+    assert!(
+        Ear::new(Setup { in_answers: false, acted_on: false, ..setup() }).is_none(),
+        "probes that nobody goes by"
+    );
 }
 
 #[test]
@@ -107,8 +112,9 @@
     own.listed(false, [server(1, now, true)].into_iter());
     own.probed(now, 9, true, load(0.9, 90.0));
     assert!(crowdings(&look(&mut own, now + 160 * MS)).is_empty());
-    // Not allowed: none at all. Dearer than it gains: a trickle.
+    // Not allowed, or nobody goes by what is told: none at all. Dearer than it gains: a trickle.
     assert_eq!(busy(&mut ear(Setup { probes: false, ..setup() }), START).1, []);
+    assert_eq!(busy(&mut ear(Setup { acted_on: false, ..setup() }), START).1, []);
     let few = busy(&mut ear(Setup { price: 1e6, ..setup() }), START).1.len();
     assert!(few < 8, "{few} of 400 requests");
 }
--- a/shared/settings/src/reports.rs
+++ b/shared/settings/src/reports.rs
@@ -30,6 +30,8 @@
             fields: Fields::new(self.names.iter().filter(|_| told)),
             in_answers: self.how == "answers",
             probes,
+            // Placing by crowding was measured and gains nothing (docs/design/deployments.md).
+            acted_on: false,
             price: charges.probe,
             patience,
             least_aim: classes.iter().map(|class| class.aim).min().unwrap_or(0),
--- a/shared/settings/src/tests.rs
+++ b/shared/settings/src/tests.rs
@@ -61,7 +61,7 @@
 #[test]
 fn reports_and_probes_are_read_where_they_are_told_and_absent_where_not() {
     let none = parse(LEAST).unwrap().reports;
-    assert!(!none.is_wanted() && none.fields.is_empty() && none.price == 0.0);
+    assert!(!none.asks() && !none.is_wanted() && none.fields.is_empty() && none.price == 0.0);
     let with = |report: &str, probes: bool| {
         let more = format!(r#""index":1,"report":{report},"charges":{{"probe":0.01,"moon":[]}},"#);
         let limits = format!(r#""probes":{probes},"maxAttempts":6"#);
@@ -70,6 +70,7 @@
     };
     let both = with(r#"{"how":"answers","names":["util","x1"],"since":3}"#, true);
     assert_eq!((both.fields.is_empty(), both.in_answers, both.probes, both.price), (false, true, true, 0.01));
+    assert!(both.is_wanted() && !both.asks(), "allowed, but no choice goes by what they find");
     assert_eq!((both.least_aim, both.patience), (300_000, 400_000), "in the settings' own times");
     let asked = with(r#"{"how":"probe","names":["util"]}"#, true);
     assert_eq!((asked.fields.is_empty(), asked.in_answers), (false, false));
