--- a/rigs/rig/src/check.rs
+++ b/rigs/rig/src/check.rs
@@ -103,6 +103,7 @@
         slots.take(line, &mut verdict);
     }
     keys.end(&mut verdict);
+    slots.end(&mut verdict);
     verdict
 }
 
--- a/rigs/rig/src/settings.rs
+++ b/rigs/rig/src/settings.rs
@@ -68,7 +68,13 @@
         class(READS[1], 250_000, 1.0, "free"),
         class(KEYED, 600_000, 3.0, "guarded"),
     ];
-    classes.extend(TENANTS.iter().take(plan.tenants).map(|name| class(name, 250_000, 1.0, "free")));
+    classes.extend(
+        TENANTS
+            .iter()
+            .take(plan.tenants)
+            .enumerate()
+            .map(|(n, name)| class(name, if n == 0 { 1_500_000 } else { 250_000 }, 1.0, "free")),
+    );
     let zeros = vec!["0"; plan.sites + 1].join(",");
     let mut counts = vec![0; plan.sites + 1];
     (0..plan.processes).for_each(|n| counts[1 + n % plan.sites] += 1);
