--- a/rigs/rig/src/customer.rs
+++ b/rigs/rig/src/customer.rs
@@ -4,9 +4,13 @@
 use foldmux_standins::rpc::{Said, Terminal};
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// Ids are new with every request: a process fails one under the id of another that is open.
+static ID: AtomicU64 = AtomicU64::new(0x5eed_0000_0000);
+
 /// How a customer goes about a request.
 #[derive(Clone, Debug)]
 pub struct Manner {
@@ -45,7 +49,7 @@
             None => Terminal::connect(self.addresses[process], self.patience).ok()?,
         };
         let mut fields = BTreeMap::from([
-            ("i", format!("{:016x}", object ^ 0x5eed)),
+            ("i", format!("{:016x}", ID.fetch_add(1, Ordering::Relaxed))),
             ("d", manner.deadline.as_millis().to_string()),
             ("o", format!("{object:016x}")),
             ("nth", "0".to_string()),
