--- a/rigs/rig/src/plan.rs
+++ b/rigs/rig/src/plan.rs
@@ -17,7 +17,7 @@
     pub operator: String,
     /// So many of [`crate::settings::TENANTS`] are classes.
     pub tenants: usize,
-    /// Caches, journal and peers are dialled without a line: nothing of that can be cut, nor told by who dialled. To find whose a
+    /// Caches and journal are dialled without a line: nothing of that can be cut, nor told by who dialled. To find whose a
     /// connection is takes milliseconds, and so many that a load of hundreds a second is the rig's and not the program's.
     pub direct: bool,
     pub archive: Policy,
