--- a/rigs/rig/src/demo.rs
+++ b/rigs/rig/src/demo.rs
@@ -108,7 +108,7 @@
         if over.load(Ordering::SeqCst) {
             return;
         }
-        let said = customer.once(client % PROCESSES, &manner, 1 << 32 | object % 64, None);
+        let said = customer.once(client % PROCESSES, &manner, (1 << 32) | (object % 64), None);
         served.fetch_add(matches!(said, Some(Said::Served(_))) as u64, Ordering::SeqCst);
         thread::sleep(MS(20));
     }
