--- a/rigs/rig/src/check.rs
+++ b/rigs/rig/src/check.rs
@@ -110,6 +110,7 @@
         caches.take(line, &mut verdict);
     }
     keys.end(&mut verdict);
+    slots.end(&mut verdict);
     verdict
 }
 
