--- a/rigs/rig/src/fanout.rs
+++ b/rigs/rig/src/fanout.rs
@@ -22,6 +22,8 @@
 const SOON: Duration = Duration::from_secs(60);
 /// Direct readers go by numbers from here on.
 const DIRECT: u64 = 1 << 32;
+/// As the operator's line has it by default, and a little more.
+const WINDOW: Duration = Duration::from_millis(10_500);
 const SAMPLED: u64 = 4;
 const MS: fn(u64) -> Duration = Duration::from_millis;
 
@@ -51,7 +53,7 @@
         size.sites,
         secs(began)
     );
-    let readers = fleet.readers(4).map_err(|e| e.to_string())?;
+    let readers = fleet.readers(6).map_err(|e| e.to_string())?;
     let direct = fleet.readers(1).map_err(|e| e.to_string())?;
     for process in 0..size.processes {
         (0..SAMPLED).for_each(|n| fleet.begin(&readers, process as u64 * SAMPLED + n, process, MS(1_000)));
@@ -64,6 +66,8 @@
     let silences = [faults(&fleet, &readers, size, few, true)?, faults(&fleet, &readers, size, few, false)?];
     settled()?;
     let quiet = delays(&fleet, &readers, &direct, few, 100, MS(20))?;
+    // What was told for the faults is no longer in the whole that a new subscriber is told.
+    std::thread::sleep(WINDOW);
     many(&fleet, &readers, size, few)?;
     settled()?;
     let all = size.subscribers;
--- a/rigs/rig/src/reader.rs
+++ b/rigs/rig/src/reader.rs
@@ -12,12 +12,15 @@
 const PATIENCE: Duration = Duration::from_millis(700);
 /// Between two tries at processes that are down.
 const AGAIN: Duration = Duration::from_millis(10);
+const DOUBLED: u32 = 6;
 const ANSWER: usize = 4 * 1024 * 1024;
 
 pub struct One {
     begin: Begin,
     place: Place,
     at: usize,
+    /// Tries in vain, one after the other.
+    tries: u32,
     stream: Option<TcpStream>,
     asked: bool,
     filled: Vec<u8>,
@@ -27,7 +30,16 @@
 
 impl One {
     pub fn new(begin: Begin, place: Place) -> One {
-        One { begin, place, at: 0, stream: None, asked: false, filled: Vec::new(), due: Instant::now() }
+        One {
+            begin,
+            place,
+            at: 0,
+            tries: 0,
+            stream: None,
+            asked: false,
+            filled: Vec::new(),
+            due: Instant::now(),
+        }
     }
 
     pub fn site(&self) -> &str {
@@ -42,7 +54,11 @@
     /// Its process is gone, or says no: the next one.
     fn lost(&mut self) {
         self.at += 1;
-        self.hang_up(Instant::now() + AGAIN);
+        self.tries += 1;
+        // Each its own, so that those of one process do not come back in step.
+        let part = 100 + self.begin.reader.wrapping_mul(37) % 100;
+        let wait = AGAIN * (1 << (self.tries - 1).min(DOUBLED)) * part as u32 / 100;
+        self.hang_up(Instant::now() + wait);
     }
 
     pub fn tick(&mut self, now: Instant, registry: &Registry) {
@@ -136,6 +152,7 @@
         // What one that comes new is told of before is no delay.
         let new = self.place.last.is_none();
         let (events, fresh) = self.place.take(feed);
+        self.tries = 0;
         let now = Instant::now();
         events.into_iter().for_each(|event| shared.record.add(event));
         let delays: Vec<u64> = fresh
