Run a fleet's pure parts together in virtual time, a fault at any message

The parts were tested each in a world of its own, and not together at the size of a fleet. rigs/fleetlab drives members, takeover, relay and fair of up to some thousands of instances in virtual time; each message may be lost, doubled, late or the one at which a link is cut one way or an instance is killed, paused or leaves, from a seed. The rig's checker reads the record. Faults of a run that breaks something are halved until none can be left out, and kept.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # build, test, lint, run and show foldmux; everything else is in README.md.
-.PHONY: build test lint run demo demo-extproc lab bench bench-extproc fleet-faults demo-fleet fuzz
+.PHONY: build test lint run demo demo-extproc lab bench bench-extproc fleet-faults demo-fleet fuzz planted lab-fleet
 
 build:
 	cargo build --release --locked
@@ -53,3 +53,16 @@
 # Every codec against another reading of the same bytes; what is found is kept in rigs/rig/fuzz/corpus.
 fuzz: build
 	target/release/foldmux-fuzz --seconds $(SECONDS) --seed $(SEED)
+
+# Each fault that is planted on purpose must be found; how soon is printed. docs/design/planted.md has the table.
+planted:
+	cargo test --locked -p foldmux-seats --features foldmux-seats/planted --test planted
+	cargo test --locked -p foldmux-members --features foldmux-members/planted --test planted
+	cargo test --locked -p foldmux-takeover --features foldmux-takeover/planted --test planted
+	cargo test --locked -p foldmux-relay --features foldmux-relay/planted --test planted
+	cargo test --locked -p foldmux-fair --features foldmux-fair/planted --test planted
+	cargo test --locked -p foldmux-fleetlab --features foldmux-fleetlab/planted --test planted
+
+# A thousand instances in virtual time, a fault at any message; what breaks is shrunk.
+lab-fleet: build
+	target/release/foldmux-lab fleet --instances 1000 --seed $(SEED)
--- /dev/null
+++ b/pure/repeats/tests/states.rs
@@ -0,0 +1,249 @@
+//! The ledger against a plain model, which keeps each key's whole history: whatever is asked, handed out, let go, told of its
+//! end or forgotten, in whatever order, over restarts, the ledger grants and refuses as the history says.
+
+use foldmux_repeats::ledger::{End, Entry, Grant, Ledger, Refusal, Rule, STORED_LENGTH};
+use foldmux_repeats::token::{Mark, Token};
+use foldmux_repeats::Millis;
+use proptest::prelude::*;
+use proptest_state_machine::{prop_state_machine, ReferenceStateMachine, StateMachineTest};
+use std::collections::BTreeMap;
+
+const RULE: Rule = Rule { window: 2_000, attempts: 4, good_for: 200, runs_for: 300, remember: 3_000 };
+const MOST: usize = 3;
+const KEYS: u8 = 5;
+
+#[derive(Clone, Copy, Debug)]
+struct Attempt {
+    handed: Millis,
+    quiet_at: Millis,
+    group: u32,
+    end: Option<End>,
+}
+
+/// What a caller shows: a token of its first or last attempt, of another key, or nothing.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Shown {
+    Nothing,
+    Last,
+    First,
+    OtherKey,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Wait(Millis),
+    Ask(u8, Shown),
+    /// What was granted is handed out, to this group where it may go anywhere; or let go.
+    Hand(u8, u32),
+    LetGo(u8),
+    Ended(u8, u8, End),
+    /// With what a store kept.
+    Restart,
+    Fence(u8, Millis),
+}
+
+#[derive(Clone, Debug, Default)]
+struct Model {
+    now: Millis,
+    keys: BTreeMap<u8, Vec<Attempt>>,
+    fenced: BTreeMap<u8, Millis>,
+    asked: BTreeMap<u8, Grant>,
+    last: Option<Result<Grant, Refusal>>,
+}
+
+impl Model {
+    fn forget(&mut self) {
+        let now = self.now;
+        self.keys.retain(|_, all| all.last().is_some_and(|last| last.quiet_at + RULE.remember > now));
+        self.fenced.retain(|_, until| *until > now);
+    }
+
+    fn judge(&self, key: u8, shown: Shown) -> Result<Grant, Refusal> {
+        if self.asked.contains_key(&key) {
+            return Err(Refusal::Deciding);
+        }
+        if shown == Shown::OtherKey {
+            return Err(Refusal::OtherKey);
+        }
+        if self.fenced.contains_key(&key) {
+            return Err(Refusal::Unread);
+        }
+        let (now, expires) = (self.now, self.now + RULE.good_for);
+        let Some(history) = self.keys.get(&key) else {
+            let new = self.asked.keys().filter(|key| !self.keys.contains_key(key)).count();
+            let full = self.keys.len() + self.fenced.len() + new >= MOST;
+            let first = Grant::Anywhere { attempt: 0, first: now, expires };
+            return if full { Err(Refusal::Full) } else { Ok(first) };
+        };
+        let (last, attempt) = (history.last().expect("handed out"), history.len() as u8);
+        if shown == Shown::First && attempt > 1 {
+            return Err(Refusal::Replayed);
+        }
+        if last.end.is_none() && now < last.quiet_at {
+            return Err(Refusal::Running { until: last.quiet_at });
+        }
+        if attempt >= RULE.attempts {
+            return Err(Refusal::TooMany);
+        }
+        let Some(ran) = history.iter().find(|attempt| attempt.end != Some(End::NeverRan)) else {
+            return Ok(Grant::Anywhere { attempt, first: now, expires });
+        };
+        let (first, group, closes) = (ran.handed, ran.group, ran.handed + RULE.window);
+        let within = Grant::Within { attempt, group, first, expires: expires.min(closes) };
+        (now < closes).then_some(within).ok_or(Refusal::WindowOver)
+    }
+}
+
+impl ReferenceStateMachine for Model {
+    type State = Model;
+    type Transition = Step;
+
+    fn init_state() -> BoxedStrategy<Model> {
+        Just(Model { now: 1_000, ..Model::default() }).boxed()
+    }
+
+    fn transitions(_: &Model) -> BoxedStrategy<Step> {
+        use Shown::*;
+        let shown = prop_oneof![4 => Just(Nothing), 4 => Just(Last), 1 => Just(First), 1 => Just(OtherKey)];
+        let end = prop_oneof![Just(End::NeverRan), Just(End::MayHaveRun)];
+        prop_oneof![
+            6 => prop_oneof![1..250u64, 1..4_000u64].prop_map(Step::Wait),
+            8 => (0..KEYS, shown).prop_map(|(key, shown)| Step::Ask(key, shown)),
+            8 => (0..KEYS, 0..3u32).prop_map(|(key, group)| Step::Hand(key, group)),
+            1 => (0..KEYS).prop_map(Step::LetGo),
+            5 => (0..KEYS, 0..4u8, end).prop_map(|(key, attempt, end)| Step::Ended(key, attempt, end)),
+            1 => Just(Step::Restart),
+            1 => (0..KEYS, 1..3_000u64).prop_map(|(key, time)| Step::Fence(key, time)),
+        ]
+        .boxed()
+    }
+
+    fn preconditions(model: &Model, step: &Step) -> bool {
+        let known = |key| model.keys.contains_key(key) || model.fenced.contains_key(key);
+        match step {
+            Step::Hand(key, _) | Step::LetGo(key) => model.asked.contains_key(key),
+            // A store holds of a key what can be read, or what can't.
+            Step::Fence(key, _) => !known(key) && !model.asked.contains_key(key),
+            _ => true,
+        }
+    }
+
+    fn apply(mut model: Model, step: &Step) -> Model {
+        match *step {
+            Step::Wait(time) => model.now += time,
+            Step::Ask(key, shown) => {
+                model.forget();
+                let told = model.judge(key, shown);
+                model.asked.extend(told.iter().map(|grant| (key, *grant)));
+                model.last = Some(told);
+            }
+            Step::Hand(key, group) => {
+                let (group, expires) = match model.asked.remove(&key).expect("granted") {
+                    Grant::Anywhere { expires, .. } => (group, expires),
+                    Grant::Within { group, expires, .. } => (group, expires),
+                };
+                let (handed, quiet_at) = (model.now, expires + RULE.runs_for);
+                model.keys.entry(key).or_default().push(Attempt { handed, quiet_at, group, end: None });
+            }
+            Step::LetGo(key) => model.asked.retain(|own, _| *own != key),
+            Step::Ended(key, attempt, end) => {
+                let history = model.keys.get_mut(&key).filter(|all| all.len() == attempt as usize + 1);
+                let last = history.and_then(|all| all.last_mut()).filter(|last| last.end.is_none());
+                last.into_iter().for_each(|last| last.end = Some(end));
+            }
+            Step::Restart => model.asked.clear(),
+            Step::Fence(key, time) => model.fenced.extend([(key, model.now + time)]),
+        }
+        model
+    }
+}
+
+struct Real {
+    ledger: Ledger,
+    stored: BTreeMap<Mark, [u8; STORED_LENGTH]>,
+    tokens: BTreeMap<u8, Vec<Token>>,
+    granted: BTreeMap<u8, Grant>,
+}
+
+fn mark(key: u8) -> Mark {
+    Mark([key; 16])
+}
+
+impl StateMachineTest for Real {
+    type SystemUnderTest = Real;
+    type Reference = Model;
+
+    fn init_test(_: &Model) -> Real {
+        let (stored, tokens, granted) = Default::default();
+        Real { ledger: Ledger::new(MOST), stored, tokens, granted }
+    }
+
+    fn apply(mut real: Real, model: &Model, step: Step) -> Real {
+        let now = model.now;
+        match step {
+            Step::Wait(_) => {}
+            Step::Ask(key, shown) => {
+                // Of a history that is forgotten by this ask a caller shows nothing: it asks no more by then.
+                let own = real.tokens.get(&key).filter(|_| model.keys.contains_key(&key));
+                let (request, group) = (mark(8), 0);
+                let other = Token { key: mark(9), request, attempt: 0, group, first: now, expires: now };
+                let shown = match shown {
+                    Shown::Nothing => None,
+                    Shown::Last => own.and_then(|all| all.last().copied()),
+                    Shown::First => own.and_then(|all| all.first().copied()),
+                    Shown::OtherKey => Some(other),
+                };
+                let told = real.ledger.ask(now, mark(key), &RULE, shown.as_ref());
+                assert_eq!(Some(told), model.last, "key {key}, shown {shown:?}");
+                real.granted.extend(told.iter().map(|grant| (key, *grant)));
+                for gone in real.ledger.forgotten() {
+                    real.stored.remove(&gone);
+                    real.tokens.remove(&gone.0[0]);
+                }
+            }
+            Step::Hand(key, group) => {
+                let grant = real.granted.remove(&key).expect("granted");
+                let (attempt, group, first, expires) = match grant {
+                    Grant::Anywhere { attempt, first, expires } => (attempt, group, first, expires),
+                    Grant::Within { attempt, group, first, expires } => (attempt, group, first, expires),
+                };
+                let request = mark(100 + attempt);
+                let entry = real.ledger.hand(now, mark(key), &RULE, &grant, group, request);
+                real.stored.insert(mark(key), entry.to_bytes());
+                let token = Token { request, key: mark(key), attempt, group, first, expires };
+                real.tokens.entry(key).or_default().push(token);
+            }
+            Step::LetGo(key) => {
+                real.granted.remove(&key);
+                real.ledger.let_go(mark(key));
+            }
+            Step::Ended(key, attempt, end) => {
+                let entry = real.ledger.ended(mark(key), attempt, end);
+                real.stored.extend(entry.map(|entry| (mark(key), entry.to_bytes())));
+            }
+            Step::Restart => {
+                let read = |bytes: &[u8]| Entry::from_bytes(bytes).expect("as it was written");
+                let entries = real.stored.iter().map(|(key, bytes)| (*key, read(bytes)));
+                real.ledger = Ledger::restored(MOST, entries);
+                model.fenced.iter().for_each(|(key, until)| real.ledger.fence(mark(*key), *until));
+                real.granted.clear();
+            }
+            Step::Fence(key, time) => real.ledger.fence(mark(key), now + time),
+        }
+        real
+    }
+
+    fn check_invariants(real: &Real, model: &Model) {
+        let held = (0..KEYS).filter(|key| real.ledger.get(mark(*key)).is_some());
+        assert!(held.eq(model.keys.keys().copied()));
+        assert_eq!(real.ledger.asked(), model.asked.len());
+        assert_eq!(real.ledger.len(), model.keys.len() + model.fenced.len());
+    }
+}
+
+prop_state_machine! {
+    #![proptest_config(ProptestConfig { cases: 300, ..ProptestConfig::default() })]
+
+    #[test]
+    fn the_ledger_says_what_the_history_says(sequential 1..60 => Real);
+}
--- /dev/null
+++ b/rigs/fleetlab/src/node.rs
@@ -0,0 +1,195 @@
+//! One instance: its four parts, as the program's fleet thread holds them, and what its host keeps beside them.
+
+use crate::net::World;
+use crate::plan::*;
+use crate::pools::Pools;
+use crate::work::Desk;
+use foldmux_fair::slots::{FleetSetup, PoolSetup};
+use foldmux_fair::FleetSlots;
+use foldmux_members as members;
+use foldmux_relay as relay;
+use foldmux_rig::record::Time;
+use foldmux_seats::{Change, Part, Peer};
+use foldmux_takeover as takeover;
+use std::sync::Arc;
+
+pub struct Parts {
+    pub members: members::Members,
+    pub takeover: takeover::Takeover,
+    pub relay: relay::Relay,
+    pub slots: FleetSlots,
+}
+
+#[derive(Clone)]
+pub enum Wire {
+    Members(members::Packet),
+    Takeover(takeover::Message),
+    Relay(relay::Message),
+    Slots(foldmux_fair::Message),
+}
+
+/// A part, as one of the four.
+pub trait Kind: Part + Sized {
+    fn of(parts: &mut Parts) -> &mut Self;
+    fn wire(message: Self::Message) -> Wire;
+    fn told(world: &mut World, at: usize, told: Self::Told);
+}
+
+macro_rules! kind {
+    ($part:ty, $field:ident, $wire:ident, $told:path) => {
+        impl Kind for $part {
+            fn of(parts: &mut Parts) -> &mut Self {
+                &mut parts.$field
+            }
+            fn wire(message: Self::Message) -> Wire {
+                Wire::$wire(message)
+            }
+            fn told(world: &mut World, at: usize, told: Self::Told) {
+                $told(world, at, told)
+            }
+        }
+    };
+}
+
+kind!(members::Members, members, Members, World::member_told);
+kind!(takeover::Takeover, takeover, Takeover, World::work_told);
+kind!(relay::Relay, relay, Relay, World::news_told);
+kind!(FleetSlots, slots, Slots, World::pool_told);
+
+impl Parts {
+    pub fn new(plan: &Plan, places: &[(Peer, Vec<Arc<str>>)], at: usize, life: u64, first: bool) -> Parts {
+        let now = BORN;
+        let seed = plan.seed ^ (at as u64) << 32 ^ life;
+        let address = std::net::SocketAddr::from(([127, 0, 0, 1], 7000));
+        let me = members::Who::new(name(at), &site(at).to_string(), address, 1_000_000 + life);
+        let pace = members::Pace { rtt: 100 * MS, size: plan.instances as u32 };
+        let setup = members::Setup { me, pace, most: plan.instances, seed };
+        Parts {
+            members: members::Members::new(setup).expect("a member"),
+            takeover: takeover::Takeover::new(now, work(plan, at, life, first)),
+            relay: relay::Relay::new(news(places, at, life), now),
+            slots: FleetSlots::new(now, pools(plan, at, life)),
+        }
+    }
+
+    pub fn due(&self) -> Option<Time> {
+        let (members, takeover) = (self.members.due(), self.takeover.due());
+        [members, takeover, self.relay.due(), self.slots.due()].into_iter().flatten().min()
+    }
+}
+
+/// What each instance's clock shows as it starts.
+pub const BORN: Time = 5_000;
+
+fn work(plan: &Plan, at: usize, life: u64, memory: bool) -> takeover::Setup {
+    takeover::Setup {
+        name: name(at),
+        session: (at as u64) << 32 | life,
+        seats: seats(),
+        rules: rules(),
+        lease: LEASE,
+        drift: drift(),
+        longest: LONGEST,
+        memory,
+        records: 100_000,
+        bytes: 1 << 26,
+        works: 10_000,
+        waiters: 100,
+        seed: plan.seed ^ (at as u64) << 20 ^ life,
+        #[cfg(feature = "planted")]
+        planted: plan.planted.as_deref().map(|name| match name {
+            "NoLeaseCheck" => takeover::Fault::NoLeaseCheck,
+            "SuccessorForgets" => takeover::Fault::SuccessorForgets,
+            "FreshSeatVotes" => takeover::Fault::FreshSeatVotes,
+            "OneGrantIsEnough" => takeover::Fault::OneGrantIsEnough,
+            other => panic!("no fault {other}"),
+        }),
+    }
+}
+
+pub fn stream() -> relay::Stream {
+    relay::Stream {
+        name: "list".into(),
+        slow: relay::Slow::Skip,
+        first: relay::First::Whole,
+        shared: true,
+        patience: 150 * MS,
+        window: 10 * SECOND,
+        items: 64,
+        bytes: 1 << 16,
+        keys: 64,
+        ahead: 16,
+    }
+}
+
+fn news(places: &[(Peer, Vec<Arc<str>>)], at: usize, life: u64) -> relay::Setup {
+    relay::Setup {
+        me: name(at),
+        life: life << 32,
+        places: places.to_vec(),
+        seats: seats(),
+        drift: drift(),
+        lease: LEASE,
+        streams: vec![stream()],
+        readers: 100,
+        fed: 1_000,
+        hold: 10 * SECOND,
+        seed: (at as u64) << 32 | life,
+    }
+}
+
+pub fn pool_key(pool: usize) -> u64 {
+    foldmux_fair::tenants::key(&format!("p{pool}"))
+}
+
+/// Seats speak for all pools; the others use their own, and tell those who use it too.
+fn pools(plan: &Plan, at: usize, life: u64) -> FleetSetup {
+    let own = pool(at);
+    let all = 0..=pool(plan.instances - 1).unwrap_or(0);
+    let mine = all.filter(|pool| own.is_none_or(|own| own == *pool));
+    let setup = |pool| PoolSetup {
+        key: pool_key(pool),
+        slots: SLOTS,
+        lease: SLOT_LEASE,
+        weights: Default::default(),
+        unnamed: 1_000,
+    };
+    let peers = (0..plan.instances).filter(|peer| own.is_some() && pool(*peer) == own).map(name).collect();
+    let seats = Change::settled(seats());
+    FleetSetup { own: name(at), life, peers, seats, drift: drift(), pools: mine.map(setup).collect() }
+}
+
+/// What waits at an instance that is paused, and what is due there.
+pub enum Local {
+    Heard {
+        from: usize,
+        wire: Box<Wire>,
+    },
+    /// One that was set for then, and not for an earlier time since.
+    Tick {
+        when: Time,
+    },
+    Pool,
+    Work(crate::work::Step),
+    News(crate::news::Step),
+    Slot {
+        id: u64,
+    },
+}
+
+pub struct Node {
+    pub parts: Option<Parts>,
+    /// One more with each end and each start.
+    pub life: u64,
+    pub born: Time,
+    /// How fast its clock runs, in millionths.
+    pub ppm: i64,
+    pub paused: bool,
+    pub leaving: bool,
+    pub held: Vec<Local>,
+    /// The next tick that is on its way.
+    pub tick: Time,
+    pub desk: Desk,
+    pub reading: crate::news::Reading,
+    pub pools: Option<Pools>,
+}
--- a/rigs/lab/src/main.rs
+++ b/rigs/lab/src/main.rs
@@ -19,6 +19,9 @@
   foldmux-lab sweep SCENARIO --field F --values A,B,… [--repeats N] [--json]
   foldmux-lab plot SCENARIO --field F --values A,B,… [--repeats N] --out FILE.svg
   foldmux-lab plot STORM --out FILE.svg                      worth by second, with limits and without
+  foldmux-lab fleet [--seed N] [--instances N] [--seconds N] [--again FILE] [--out FILE]
+                                                             a fleet's pure parts, with a fault at any message; what
+                                                             breaks is shrunk
   foldmux-lab help
 
 The same scenario and seed give the same figures; repeats count the seed up.";
@@ -60,6 +63,9 @@
 }
 
 fn run() -> Result<(), String> {
+    if std::env::args().nth(1).is_some_and(|word| word == "fleet") {
+        return foldmux_fleetlab::command::command(Parser::from_env());
+    }
     let mut parser = Parser::from_env();
     let (mut words, mut json) = (Vec::new(), false);
     let (mut field, mut values, mut repeats, mut out) = (None, None, 3u64, None);
--- /dev/null
+++ b/tests/requests.rs
@@ -0,0 +1,238 @@
+//! The table of requests against a plain one: whatever comes in whatever order - outcomes late, twice or never, members that
+//! go, clients that leave, a router that starts anew - each request is answered once, an attempt is numbered from 0 and
+//! goes to a listed server, and no effect is risked twice.
+mod common;
+use common::*;
+use foldmux::interface::*;
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Clone, Debug)]
+enum Step {
+    Ask {
+        class: usize,
+        object: u64,
+        budget: Time,
+    },
+    /// Of one that is out, by its place; it stays unknown where it is lost.
+    Ended {
+        which: usize,
+        outcome: Outcome,
+        note: Note,
+    },
+    /// Word of one that ended before, or never was.
+    Stray {
+        id: u64,
+        attempt: u8,
+        outcome: Outcome,
+    },
+    Started(usize),
+    Gone(usize),
+    Pass(Time),
+    Member {
+        which: usize,
+        state: State,
+    },
+    Purged(u64),
+    Restart,
+}
+
+fn outcome() -> impl Strategy<Value = Outcome> {
+    use Outcome::*;
+    prop::sample::select(vec![
+        Served,
+        Served,
+        Served,
+        Error,
+        Full,
+        TimedOut,
+        ConnectFailed,
+        Reset,
+        Cancelled,
+        NeverSent,
+        Miss,
+    ])
+}
+
+fn note() -> impl Strategy<Value = Note> {
+    use Note::*;
+    prop::sample::select(vec![Untold, Hit, Filled, SourceRefused, SourceBroken, SourceLacks, OriginFailed])
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let state = prop::sample::select(vec![State::Ready, State::Draining, State::Gone]);
+    prop_oneof![
+        8 => (0..2usize, 0..6u64, 1..4_000 * MS)
+            .prop_map(|(class, object, budget)| Step::Ask { class, object, budget }),
+        8 => (any::<usize>(), outcome(), note())
+            .prop_map(|(which, outcome, note)| Step::Ended { which, outcome, note }),
+        1 => (0..40u64, 0..4u8, outcome()).prop_map(|(id, attempt, outcome)| Step::Stray { id, attempt, outcome }),
+        1 => any::<usize>().prop_map(Step::Started),
+        1 => any::<usize>().prop_map(Step::Gone),
+        4 => prop_oneof![1..50 * MS, 1..2_000 * MS].prop_map(Step::Pass),
+        2 => (any::<usize>(), state).prop_map(|(which, state)| Step::Member { which, state }),
+        1 => (0..6u64).prop_map(Step::Purged),
+        1 => Just(Step::Restart),
+    ]
+}
+
+struct Open {
+    class: usize,
+    deadline: Time,
+    started: bool,
+    attempts: u8,
+    may_have_run: bool,
+}
+
+struct Table {
+    front: Front,
+    members: Vec<Member>,
+    open: BTreeMap<RequestId, Open>,
+    out: BTreeSet<(RequestId, u8)>,
+    ended: BTreeSet<RequestId>,
+}
+
+impl Table {
+    fn new() -> Table {
+        let (open, out, ended) = Default::default();
+        Table { front: Front::new(settings(), members()), members: members(), open, out, ended }
+    }
+
+    /// Only one that is out, and is known to be, is told of.
+    fn has_out(&self, id: RequestId) -> bool {
+        self.out.range((id, 0)..=(id, u8::MAX)).next().is_some()
+    }
+
+    fn acts(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Fetch(fetch) => {
+                    let out = self.has_out(fetch.id);
+                    let request = self.open.get_mut(&fetch.id).expect("an attempt for one that is not open");
+                    let single = settings().classes[request.class].repeat == Repeat::SingleShot;
+                    assert!(!single || !out && !request.may_have_run, "an effect is risked twice");
+                    let listed =
+                        |cache| self.members.iter().any(|m| m.cache == cache && m.state != State::Gone);
+                    assert!(listed(fetch.cache) && listed(fetch.source), "{fetch:?} is not listed");
+                    assert!(self.out.insert((fetch.id, request.attempts)));
+                    request.attempts += 1;
+                    assert!(u32::from(request.attempts) <= settings().max_attempts);
+                }
+                Action::Refuse { id, .. } => {
+                    let out = self.has_out(id);
+                    let request = self.open.remove(&id).expect("refused, and not open");
+                    let single = settings().classes[request.class].repeat == Repeat::SingleShot;
+                    assert!(!single || !out && !request.may_have_run, "refused, and it may have run");
+                    assert!(self.ended.insert(id), "two answers");
+                }
+                Action::Fail { id } => {
+                    assert!(self.open.remove(&id).is_some(), "failed, and not open");
+                    assert!(self.ended.insert(id), "two answers");
+                }
+                Action::Cancel { id, attempt } => {
+                    assert!(self.out.contains(&(id, attempt)) && !self.open.contains_key(&id));
+                }
+                Action::Timer { .. } | Action::Probe { .. } | Action::TellPeers { .. } | Action::Watch => {}
+            }
+        }
+    }
+
+    /// One that is open has something out, or has just been answered: none is forgotten.
+    fn check(&self) {
+        for id in self.open.keys() {
+            assert!(self.has_out(*id), "{id:?} waits for nothing");
+        }
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Ask { class, object, budget } => {
+                let id = RequestId(self.front.next + 1);
+                let deadline = self.front.now + budget;
+                let open = Open { class, deadline, started: false, attempts: 0, may_have_run: false };
+                self.open.insert(id, open);
+                let (_, actions) = self.front.request_for(class, object, 500.0, budget);
+                self.acts(actions);
+            }
+            Step::Ended { which, outcome, note } => {
+                let Some(&(id, attempt)) = self.out.iter().nth(which % self.out.len().max(1)) else { return };
+                self.out.remove(&(id, attempt));
+                let last = outcome == Outcome::Served;
+                if let Some(request) = self.open.get_mut(&id) {
+                    request.may_have_run |= !outcome.never_ran();
+                }
+                // What is served answers its client, if it was not answered before.
+                if last && self.open.remove(&id).is_some() {
+                    assert!(self.ended.insert(id), "two answers");
+                }
+                let report = Report { id, attempt, outcome, note, elapsed: 60 * MS, last };
+                let actions = self.front.event(Event::Outcome(report));
+                self.acts(actions);
+            }
+            Step::Stray { id, attempt, outcome } if !self.out.contains(&(RequestId(id), attempt)) => {
+                let (id, note) = (RequestId(id), Note::Untold);
+                let report = Report { id, attempt, outcome, note, elapsed: MS, last: false };
+                assert_eq!(self.front.event(Event::Outcome(report)), [], "for what is not out");
+            }
+            Step::Stray { .. } => {}
+            Step::Started(which) | Step::Gone(which) => {
+                let Some(&id) = self.open.keys().nth(which % self.open.len().max(1)) else { return };
+                let event = match step {
+                    Step::Gone(_) => {
+                        self.open.remove(&id);
+                        Event::ClientGone { id }
+                    }
+                    _ => {
+                        self.open.iter_mut().for_each(|(own, open)| open.started |= *own == id);
+                        Event::Started { id }
+                    }
+                };
+                let actions = self.front.event(event);
+                self.acts(actions);
+            }
+            Step::Pass(time) => {
+                self.front.now += time;
+                let actions = self.front.event(Event::Timer { token: 1 });
+                self.acts(actions);
+                let (now, slack) = (self.front.now, settings().answer_slack);
+                let late = self.open.values().find(|open| !open.started && now >= open.deadline + slack);
+                assert!(late.is_none(), "an answer is overdue");
+            }
+            Step::Member { which, state } => {
+                let which = which % self.members.len();
+                self.members[which].state = state;
+                let members = vec![self.members[which].clone()];
+                let actions = self.front.event(Event::Members { full: false, members });
+                self.acts(actions);
+            }
+            Step::Purged(object) => {
+                let object = Some(ObjectId(object));
+                let actions = self.front.event(Event::Purged { object, group: 5, ago: 0 });
+                self.acts(actions);
+            }
+            Step::Restart => {
+                let (now, next) = (self.front.now, self.front.next);
+                *self = Table { members: self.members.clone(), ..Table::new() };
+                (self.front.now, self.front.next) = (now, next);
+                let members = self.members.clone();
+                let actions = self.front.event(Event::Members { full: true, members });
+                self.acts(actions);
+            }
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 128, ..ProptestConfig::default() })]
+
+    #[test]
+    fn each_request_is_answered_once_and_no_effect_is_risked_twice(
+        steps in prop::collection::vec(step(), 1..150),
+    ) {
+        let mut table = Table::new();
+        for step in steps {
+            table.step(step);
+            table.check();
+        }
+    }
+}
