--- a/edge/proxy/src/line.rs
+++ b/edge/proxy/src/line.rs
@@ -53,8 +53,7 @@
             errored,
             sends,
         });
-        let out = self.hand.out();
-        let (size, unready) = self.core.members.census(|name| out.holds(name));
+        let (size, unready) = self.hand.census();
         Figures {
             classes: classes.collect(),
             current: (self.core.open() + self.core.lent()) as u64,
--- a/edge/proxy/src/line/hand.rs
+++ b/edge/proxy/src/line/hand.rs
@@ -85,9 +85,12 @@
         count
     }
 
-    /// The pop caches out by hand, as they are now.
-    pub fn out(&self) -> Maintenance {
-        self.held().out.clone()
+    /// How many are listed, and how many of them are not ready or are out by hand: as told here, which the desk may be about
+    /// to take.
+    pub fn census(&self) -> (usize, usize) {
+        let held = self.held();
+        let unready = |l: &&Listed| l.member.state != State::Ready || held.out.holds(&l.name);
+        (held.told.len(), held.told.values().filter(unready).count())
     }
 
     /// Takes what another process of this place (a version beside this one) wrote, where it differs: both count
