--- a/rigs/rig/src/archive.rs
+++ b/rigs/rig/src/archive.rs
@@ -58,6 +58,7 @@
     keys: Mutex<HashMap<String, Key>>,
     done: Condvar,
     gates: Gates,
+    direct: bool,
     pools: Pools,
     places: Places,
     record: Record,
@@ -65,36 +66,39 @@
 }
 
 pub struct Archive {
-    /// One for each cache, hub and source, and its kind as pools call it.
-    doors: Vec<Server>,
+    /// By host of the list.
+    servers: Vec<Server>,
     shared: Arc<Shared>,
 }
 
 impl Archive {
-    pub fn start(policy: Policy, record: &Record, who: &Who, pools: Pools) -> Archive {
+    /// `direct`: nobody asks who dialled.
+    pub fn start(policy: Policy, record: &Record, who: &Who, pools: Pools, direct: bool) -> Archive {
         let shared = Arc::new(Shared {
             policy: Mutex::new(policy),
             keys: Mutex::default(),
             done: Condvar::new(),
             gates: Gates::default(),
+            direct,
             pools,
             places: Places::default(),
             record: record.clone(),
             who: who.clone(),
         });
-        Archive { doors: Vec::new(), shared }
+        let serve = |host: usize| {
+            let kind = shared.pools.kind(host);
+            let own = shared.clone();
+            Server::start(move |stream| {
+                let mut by = None;
+                while one(stream, (host, kind), &own, &mut by) {}
+            })
+        };
+        let servers = (0..shared.pools.hosts()).map(serve).collect();
+        Archive { servers, shared }
     }
 
-    /// Where it is asked as this cache, of this kind; what comes is written down as that.
-    pub fn door(&mut self, cache: usize, kind: &'static str) -> SocketAddr {
-        let own = self.shared.clone();
-        let door = Server::start(move |stream| {
-            let mut by = None;
-            while one(stream, (cache, kind), &own, &mut by) {}
-        });
-        let address = door.address;
-        self.doors.push(door);
-        address
+    pub fn address(&self, host: usize) -> SocketAddr {
+        self.servers[host].address
     }
 
     /// Holds keyed requests at this point, or one key's alone.
@@ -173,7 +177,7 @@
 fn one(stream: &TcpStream, (cache, kind): (usize, &str), shared: &Shared, by: &mut Option<usize>) -> bool {
     let Some(ask) = read_ask(stream) else { return false };
     // Looked up once bytes are here: the line knows by then whose they are.
-    *by = by.or_else(|| shared.who.dialled(stream));
+    *by = by.or_else(|| (!shared.direct).then(|| shared.who.dialled(stream)).flatten());
     let by = *by;
     let max_age_ms = ask.field("x-max-age-ms").parse().ok();
     shared.record.add(Event::Came { cache, by, object: ask.object, max_age_ms });
--- a/rigs/rig/src/main.rs
+++ b/rigs/rig/src/main.rs
@@ -1,5 +1,7 @@
-//! Real processes, faults from a seed, what cover costs, tenants beside a flood: a table, and a verdict by exit code.
+//! Real processes, faults from a seed, what cover costs, tenants beside a flood, the fan-out's figures: a table, and a
+//! verdict by exit code.
 
+use foldmux_rig::fanout;
 use foldmux_rig::faults::{self, Run};
 use foldmux_rig::neighbours;
 use foldmux_rig::schedule::Counts;
@@ -18,6 +20,7 @@
 foldmux-rig demo [--seconds N] [--seed N] [--record FILE]
 foldmux-rig neighbours [--seconds N] [--seed N] [--processes N]
 foldmux-rig cost [--requests N] [--seed N]
+foldmux-rig fanout [--processes N] [--sites N] [--subscribers N] [--faults N] [--seed N]
 
   --alone   no fleet: what is lost and run twice without it
 The program is the foldmux beside this one, or what FOLDMUX names.";
@@ -29,6 +32,9 @@
     processes: usize,
     sized: bool,
     requests: Option<u64>,
+    sites: usize,
+    subscribers: u64,
+    faults: usize,
     alone: bool,
     record: Option<PathBuf>,
 }
@@ -42,6 +48,9 @@
         processes: 8,
         sized: false,
         requests: None,
+        sites: 4,
+        subscribers: 10_000,
+        faults: 8,
         alone: false,
         record: None,
     };
@@ -55,6 +64,9 @@
                 line.sized = true;
             }
             Arg::Long("requests") => line.requests = Some(parser.value()?.parse()?),
+            Arg::Long("sites") => line.sites = parser.value()?.parse()?,
+            Arg::Long("subscribers") => line.subscribers = parser.value()?.parse()?,
+            Arg::Long("faults") => line.faults = parser.value()?.parse()?,
             Arg::Long("alone") => line.alone = true,
             Arg::Long("record") => line.record = Some(parser.value()?.into()),
             other => return Err(other.unexpected()),
@@ -78,6 +90,13 @@
                 &sizes,
             )
         }
+        "fanout" => fanout::play(&fanout::Size {
+            processes: line.processes,
+            sites: line.sites.clamp(1, line.processes),
+            subscribers: line.subscribers,
+            faults: line.faults,
+            seed: line.seed,
+        }),
         _ => Err(USAGE.to_string()),
     });
     match ran {
