--- a/src/router.rs
+++ b/src/router.rs
@@ -1,5 +1,4 @@
 //! The router: what it keeps, and which part decides on an event. Its words are in src/interface.rs.
-//!
 //! A request's life: members and purges are heard of (members); it is placed (place), its miss given a source
 //! (source), among what is fit (health, cold); it goes out if there is room (send, routes); each outcome
 //! is learned from (learn, summary); it is tried again or given up (retry).
@@ -48,6 +47,8 @@
     filling: u32,
     fail: f64,
     shun_until: Time,
+    /// Dials in a row that came to nothing.
+    dead: u32,
     /// When the first of what was sent to it since its last word should have been answered.
     due: Option<Time>,
     /// Smoothed fill latency beyond the sending time (us).
@@ -133,8 +134,7 @@
     requests: BTreeMap<RequestId, Request>,
     attempts: BTreeMap<(RequestId, u8), Attempt>,
     local: Table,
-    /// Placements that clients may still use by themselves: until when, and what each weighs. Kept over a
-    /// server's restart, as their holders don't hear of it.
+    /// Placements that clients may still use by themselves: until when, what each weighs. Outlive restarts.
     leases: BTreeMap<CacheId, Recent>,
     purges: BTreeMap<(u64, u32), (Time, Time)>,
     /// By class: mean sending time (us), the weight of an attempt.
@@ -188,8 +188,7 @@
         }
     }
 
-    /// Other settings, all at once. A class that open requests have keeps its place; a place under other
-    /// rules is another class's, whose sizes are not known yet.
+    /// Other settings, all at once. A class keeps its place; under other rules its sizes are not known yet.
     pub fn retune(&mut self, settings: Settings) {
         let same = |k: usize| self.settings.classes.get(k) == settings.classes.get(k);
         let work = |k: usize| if same(k) { self.class_work[k] } else { 0.0 };
--- a/src/router/cold.rs
+++ b/src/router/cold.rs
@@ -36,7 +36,7 @@
     }
 
     pub(super) fn cold(&self, now: Time, server: &Server) -> bool {
-        let age = now.saturating_sub(server.member.boot);
-        server.member.boot != 0 && age < self.settings.longest_cold()
+        let boot = server.member.boot;
+        boot != 0 && now.saturating_sub(boot) < self.settings.longest_cold()
     }
 }
--- a/src/router/health.rs
+++ b/src/router/health.rs
@@ -13,6 +13,7 @@
     /// Guards against whatever makes a server fail more than its like: dead, hung, erring, or cut off. What
     /// all of a tier have in common (a failing origin, lost answers) is no reason to leave any of them.
     pub(super) fn note(&mut self, now: Time, failed: bool, dead: bool, like: &mut f64) {
+        self.dead = if dead { self.dead + 1 } else { 0 };
         let sample = failed as u8 as f64;
         self.fail += FAIL_SMOOTH.0 * (sample - self.fail);
         *like += FAIL_SMOOTH.1 * (sample - *like);
--- a/src/router/place.rs
+++ b/src/router/place.rs
@@ -45,7 +45,9 @@
             // How many use a lease is not known here: a cold cache is left out of them.
             let leasable = request.lease == 0 || !self.cold(now, server);
             let room = leasable && self.cold_room(now, server, weight);
-            server.ready() && room && self.may_repeat_at(now, request, **c)
+            // Guards against dials that come to nothing, one after another, where the others have no room.
+            let dead = server.dead > 1 && now < server.shun_until;
+            server.ready() && !dead && room && self.may_repeat_at(now, request, **c)
         };
         let mut order: Vec<CacheId> = self.tiers[0].iter().filter(takes).copied().collect();
         order.sort_by_key(|&c| (Some(c) != listed, !rank(request.key, c.0 as u64), c));
--- a/src/router/retry.rs
+++ b/src/router/retry.rs
@@ -96,8 +96,7 @@
     pub(super) fn on_tick(&mut self, now: Time, out: &mut Vec<Action>) {
         out.push(Action::Timer { after: TICK, token: TICK_TOKEN });
         // A time-out at the deadline that never came: the answer is still owed in time.
-        let slack = self.settings.answer_slack / 2;
-        let overdue = |r: &Request| !r.started && now >= r.deadline + slack;
+        let overdue = |r: &Request| !r.started && now >= r.deadline + self.settings.answer_slack / 2;
         let late: Vec<_> = self.requests.iter().filter(|(_, r)| overdue(r)).map(|(&id, _)| id).collect();
         for id in late {
             self.give_up(id, out);
--- a/src/router/source.rs
+++ b/src/router/source.rs
@@ -78,8 +78,8 @@
         self.tiers[3].iter().find(fit).filter(|_| self.lost > LOST).copied()
     }
 
-    /// The sibling asked: the object's home cache in a neighbouring zone, same hub first. Cold siblings are
-    /// left alone: a look counts as load too.
+    /// The sibling asked: the object's home in a neighbouring zone, same hub first; none that is cold, as a
+    /// look counts as load too.
     pub(super) fn sibling(&self, now: Time, request: &Request) -> Option<CacheId> {
         if self.settings.siblings != Siblings::Any {
             return None;
