--- a/edge/upstream/src/lib.rs
+++ b/edge/upstream/src/lib.rs
@@ -3,6 +3,7 @@
 //! Owns: the connections to them ([`pool`]), what an answer proves and reports, and the probes ([`probe`]). May not: choose a cache, repeat an attempt, or
 //! hold anything of a request once its attempt has returned. It implements the core's [`Tries`].
 
+mod dial;
 pub mod pool;
 pub mod probe;
 
