--- a/edge/proxy/src/server.rs
+++ b/edge/proxy/src/server.rs
@@ -4,10 +4,11 @@
 use crate::config::Config;
 use crate::fleet::{self, parts::Own};
 use crate::journal::{Journal, Names, Service};
-use crate::limits;
+use crate::leave::{leave, until_killed, LONGEST};
 use crate::line::{self, Hand, Sources};
 use crate::reload::{processed, rekey, relimit, reload, reweigh, rewire, routed, rules, served, tell};
 use crate::wiring::{Live, Zones};
+use crate::{limits, reports};
 use foldmux::interface::{Repeat, Time};
 use foldmux::Router;
 use foldmux_core::buffers::Buffers;
@@ -31,19 +32,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Served on after SIGTERM: new connections arrive for 0.4 s, requests on them for 0.2 s more.
-const SERVE_ON: Duration = Duration::from_millis(800);
-/// Connections are taken for this long after SIGTERM; then those queued, and the listener closes.
-const TAKE_ON: Duration = Duration::from_millis(400);
-/// Of the platform's SIGKILL after SIGTERM: the longest deadline, at most 3 s, then 0.7 s; and what is kept back
-/// from that for the last answers to be written and read.
-const KILL_AFTER_MOST: Duration = Duration::from_secs(3);
-const KILL_GRACE: Duration = Duration::from_millis(700);
-const KILL_MARGIN: Duration = Duration::from_millis(250);
-/// Between the last answer and the exit: it has left, and its client reads it.
-const LINGER: Duration = Duration::from_millis(50);
-/// Longest wait for what is open after that: SIGKILL follows.
-const LONGEST: Duration = Duration::from_secs(6);
 const TALLY_EVERY: Duration = Duration::from_secs(5);
 /// Advised with a refusal of the core's own (us), where clients follow as much.
 const SHED_WAIT: Time = 300_000;
@@ -90,6 +78,7 @@
     let limited = limited.transpose()?;
     let repeats: Vec<Repeat> = decoded.settings.classes.iter().map(|class| class.repeat).collect();
     let own_zone = decoded.zones.get(decoded.settings.zone).cloned().unwrap_or_default();
+    let (told, reported) = (decoded.settings.clone(), decoded.reports);
     let router = Router::new(decoded.settings, config.seed);
     let (mut desk, handle) = Desk::new(router, clock.clone(), members.clone());
     let connections = pool.clone();
@@ -101,7 +90,8 @@
         dial_time_out: span(decoded.dial_time_out),
     };
     let buffers = Buffers::new(bounds.buffers);
-    let (tries, most) = (Box::new(upstream), bounds.open);
+    let tries = reports::start(reported, &told, &mut desk, &handle, upstream)?;
+    let most = bounds.open;
     let core = Core::new(handle.clone(), clock.clone(), buffers, members, tries, shed_wait, cold_for, most);
     // Limits go by the places of the start's classes: no other class may take one.
     let _limited_places = limited.is_some().then(|| taken.clone());
@@ -121,7 +111,7 @@
     let mut live = tree.map(|h| Live::start(h, zones, clock.clone(), handle.clone())).transpose()?;
     let listener = shared(config.listen).map_err(|e| format!("listening on {}: {e}", config.listen))?;
     let on = listener.local_addr().map_err(|e| e.to_string())?;
-    let mut journal = Journal::new(names, clock, handle.clone(), pool, listed.clone());
+    let mut journal = Journal::new(names, clock, handle.clone(), pool.clone(), listed.clone());
     // Kept where the platform gives this place a folder of its own, which a new version beside this one shares.
     let kept = std::env::var_os("TMPDIR").map(PathBuf::from);
     let kept = kept.map(|dir| dir.join(format!("foldmux-maintenance-{}", on.port())));
@@ -189,6 +179,8 @@
     let told = core.clone();
     named("tally", READER_STACK, move || loop {
         thread::sleep(TALLY_EVERY);
+        // Whether or not there is a journal service to poll.
+        pool.sweep();
         told.tally.line().iter().for_each(|line| tracing::info!("{line}; {} open", told.open()));
     })?;
     // The desk ends only by a fault: then nothing can be decided any more, and the platform must see it.
@@ -222,26 +214,8 @@
         let ended = serving.leave(LONGEST);
         tracing::info!("external processor: {}; all streams ended: {ended}", serving.line());
     }
-    // SIGKILL comes no earlier than the longest deadline, taken as 3 s where it is longer, and 0.7 s after that.
-    let kill = span(longest).min(KILL_AFTER_MOST) + KILL_GRACE - KILL_MARGIN;
-    let _ = leave_by.set(Instant::now() + kill);
+    let _ = leave_by.set(Instant::now() + until_killed(longest));
     leave(&core, &closing, &connections);
     own_fleet.into_iter().for_each(fleet::Running::end);
     Ok(())
 }
-
-/// Serves on for a while, answers what was taken, and returns.
-/// From when `leave_by` is set, the fronts say that the process is not well.
-fn leave(core: &Core, closing: &AtomicBool, connections: &Places) {
-    connections.leave();
-    let told = Instant::now();
-    tracing::info!("told to leave: what is taken is answered first");
-    thread::sleep(TAKE_ON);
-    closing.store(true, Ordering::SeqCst);
-    thread::sleep(SERVE_ON - TAKE_ON);
-    while core.open() > 0 && told.elapsed() < LONGEST {
-        thread::sleep(Duration::from_millis(5));
-    }
-    thread::sleep(LINGER);
-    tracing::info!("left {:?} after the signal, {} open", told.elapsed(), core.open());
-}
--- a/rigs/rig/src/archive.rs
+++ b/rigs/rig/src/archive.rs
@@ -66,8 +66,8 @@
 }
 
 pub struct Archive {
-    /// By host of the list.
-    servers: Vec<Server>,
+    /// One for each cache, hub and source, and its kind as pools call it.
+    doors: Vec<Server>,
     shared: Arc<Shared>,
 }
 
@@ -85,20 +85,19 @@
             record: record.clone(),
             who: who.clone(),
         });
-        let serve = |host: usize| {
-            let kind = shared.pools.kind(host);
-            let own = shared.clone();
-            Server::start(move |stream| {
-                let mut by = None;
-                while one(stream, kind, &own, &mut by) {}
-            })
-        };
-        let servers = (0..shared.pools.hosts()).map(serve).collect();
-        Archive { servers, shared }
+        Archive { doors: Vec::new(), shared }
     }
 
-    pub fn address(&self, host: usize) -> SocketAddr {
-        self.servers[host].address
+    /// Where it is asked as this cache, of this kind; what comes is written down as that.
+    pub fn door(&mut self, cache: usize, kind: &'static str) -> SocketAddr {
+        let own = self.shared.clone();
+        let door = Server::start(move |stream| {
+            let mut by = None;
+            while one(stream, (cache, kind), &own, &mut by) {}
+        });
+        let address = door.address;
+        self.doors.push(door);
+        address
     }
 
     /// Holds keyed requests at this point, or one key's alone.
@@ -174,11 +173,13 @@
 }
 
 /// Serves one request; whether the connection may carry another.
-fn one(stream: &TcpStream, kind: &str, shared: &Shared, by: &mut Option<usize>) -> bool {
+fn one(stream: &TcpStream, (cache, kind): (usize, &str), shared: &Shared, by: &mut Option<usize>) -> bool {
     let Some(ask) = read_ask(stream) else { return false };
     // Looked up once bytes are here: the line knows by then whose they are.
     *by = by.or_else(|| (!shared.direct).then(|| shared.who.dialled(stream)).flatten());
     let by = *by;
+    let max_age_ms = ask.field("x-max-age-ms").parse().ok();
+    shared.record.add(Event::Came { cache, by, object: ask.object, max_age_ms });
     let policy = *shared.policy.lock().unwrap_or_else(PoisonError::into_inner);
     let Some(key) = ask.fields.get("via-token").cloned() else {
         let pool = shared.pools.of(kind, ask.field("x-fill-from")).map(String::from);
--- a/rigs/rig/src/demo.rs
+++ b/rigs/rig/src/demo.rs
@@ -28,7 +28,7 @@
         seats: PROCESSES,
         seed,
         fleet: true,
-        operator: wired::LINES.to_string() + &neighbours::weights([1.0; 4]),
+        operator: wired::lines(Duration::from_secs(2)) + &neighbours::weights([1.0; 4]),
         tenants: 2,
         archive: Policy { slow: Some((settings::TENANTS[0], neighbours::SLOW)), ..Policy::default() },
         ..Plan::default()
--- a/rigs/rig/src/main.rs
+++ b/rigs/rig/src/main.rs
@@ -1,11 +1,11 @@
-//! `make fleet-faults` and `make demo-fleet`: real processes, faults from a seed, a table, and a verdict by exit code.
+//! Real processes, faults from a seed, what cover costs, tenants beside a flood: a table, and a verdict by exit code.
 
-use foldmux_rig::demo;
 use foldmux_rig::faults::{self, Run};
 use foldmux_rig::neighbours;
 use foldmux_rig::schedule::Counts;
 use foldmux_rig::wired::{self, Wired};
 use foldmux_rig::Plan;
+use foldmux_rig::{cost, demo};
 use lexopt::{Arg, ValueExt};
 use std::fs::File;
 use std::io::BufWriter;
@@ -17,6 +17,7 @@
 foldmux-rig faults [--seconds N] [--seed N] [--processes N] [--requests N] [--alone] [--record FILE]
 foldmux-rig demo [--seconds N] [--seed N] [--record FILE]
 foldmux-rig neighbours [--seconds N] [--seed N] [--processes N]
+foldmux-rig cost [--requests N] [--seed N]
 
   --alone   no fleet: what is lost and run twice without it
 The program is the foldmux beside this one, or what FOLDMUX names.";
@@ -65,6 +66,7 @@
 fn main() -> ExitCode {
     let ran = read().map_err(|e| e.to_string()).and_then(|line| match line.command.as_str() {
         "faults" => broken(&line),
+        "cost" => cost::told(line.requests.unwrap_or(1_000), line.seed),
         "demo" => {
             demo::play(line.seed, Duration::from_secs(if line.seconds == 0 { 30 } else { line.seconds }))
         }
@@ -107,7 +109,7 @@
         seats: line.processes,
         seed: line.seed,
         fleet,
-        operator: if fleet { wired::LINES.to_string() } else { String::new() },
+        operator: if fleet { wired::lines(faults::LONGEST) } else { String::new() },
         ..Plan::default()
     };
     let run = Run {
