--- a/shared/feed/src/serve.rs
+++ b/shared/feed/src/serve.rs
@@ -1,8 +1,8 @@
 //! The journal's long poll as a relay serves it: numbers go on from the reader's own, whichever process it asked before. A
-//! connection is a reader: a new one begins with the whole list.
+//! connection is a reader: a new one begins with the whole list, and is told that something may be missing where it read before.
 
 use crate::desk::{Desk, Over, Reading};
-use crate::words::{Entry, Feed};
+use crate::words::{Entry, Feed, Lost};
 use foldmux_http1::io::write_all;
 use foldmux_http1::request::read_request;
 use std::io;
@@ -71,16 +71,22 @@
             Some(reading) => reading,
             None => {
                 told.clear();
-                match desk.read(tail) {
+                // How long one that comes again was away nobody knows: something may be missing.
+                let again = tail > 0;
+                if again {
+                    let lost = Some(Lost { from: 1, to: None });
+                    told.push(Entry { pos: tail + 1, lost, ..Entry::default() });
+                }
+                match desk.read(tail + u64::from(again)) {
                     Ok(new) => reading.insert(new),
                     Err(Over) => return answer(stream, "503 Service Unavailable", ""),
                 }
             }
         };
         reading.took(tail);
-        if told.is_empty() {
+        if told.iter().all(|entry| entry.lost.is_some()) {
             match reading.next(until) {
-                Ok(next) => told = next,
+                Ok(next) => told.extend(next),
                 Err(Over) => return answer(stream, "503 Service Unavailable", ""),
             }
         }
