--- a/rigs/rig/src/fanout.rs
+++ b/rigs/rig/src/fanout.rs
@@ -2,7 +2,8 @@
 //! news comes beside readers at the source, and the silence after a kill and after a leaving.
 
 use crate::check::{self, percentile};
-use crate::fleet::{Fleet, Plan};
+use crate::fleet::Fleet;
+use crate::plan::Plan;
 use crate::readers::{Begin, Readers};
 use crate::record::{Event, Line, Time};
 use std::collections::BTreeMap;
--- a/rigs/rig/src/fleet.rs
+++ b/rigs/rig/src/fleet.rs
@@ -1,9 +1,11 @@
 //! A fleet of real processes with everything that they talk to, each link through a line.
 
-use crate::archive::{Archive, Policy};
+use crate::archive::Archive;
 use crate::customer::Customer;
 use crate::line::Line;
 use crate::news::News;
+use crate::plan::Plan;
+use crate::pools::Pools;
 use crate::process::{free, program, Process, Spec};
 use crate::record::{Event, Record};
 use crate::settings::{self, BOXES};
@@ -20,28 +22,6 @@
 /// How long a process may take to start, be well or end.
 pub const SOON: Duration = Duration::from_secs(20);
 
-#[derive(Clone, Debug)]
-pub struct Plan {
-    pub processes: usize,
-    pub sites: usize,
-    /// The first so many processes are seats.
-    pub seats: usize,
-    pub seed: u64,
-    /// Whether the processes are one fleet; else each is alone, and has no operator's file.
-    pub fleet: bool,
-    pub lease: Duration,
-    /// More lines of the operator's file.
-    pub operator: String,
-    pub archive: Policy,
-}
-
-impl Default for Plan {
-    fn default() -> Plan {
-        let (lease, operator, archive) = (Duration::from_millis(500), String::new(), Policy::default());
-        Plan { processes: 3, sites: 2, seats: 3, seed: 1, fleet: false, lease, operator, archive }
-    }
-}
-
 pub struct Fleet {
     // In this order they end: the processes first.
     running: Vec<Mutex<Option<Process>>>,
@@ -70,13 +50,17 @@
         std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
         let (record, who, program) = (Record::default(), Who::default(), program()?);
         record.add(Event::Planned { seed: plan.seed, processes: plan.processes, sites: plan.sites });
-        let mut archive = Archive::start(plan.archive, &record, &who);
-        let mut line = |n: usize| Line::to(&format!("cache {n}"), archive.door(n), &who);
-        let caches: Vec<Line> = (0..plan.sites * BOXES + 2).map(&mut line).collect();
+        let pools = settings::pools(&plan.operator);
+        let cap = |(pool, slots): &(String, u64)| Event::Cap { pool: pool.clone(), slots: *slots };
+        pools.iter().for_each(|pool| record.add(cap(pool)));
+        let archive = Archive::start(plan.archive, &record, &who, Pools::new(pools, plan.sites), plan.direct);
+        let line = |n: usize| Line::to(&format!("cache {n}"), archive.address(n), &who);
+        let caches: Vec<Line> = (0..plan.sites * BOXES + 2).map(line).collect();
         let journal = News::start(plan.sites, &record, &who);
         let news = |n: usize| Line::by(Some(n), "journal", journal.address(), &who);
         let news: Vec<Line> = (0..plan.processes).map(news).collect();
-        let hosts = settings::hosts(plan, |n| caches[n].address);
+        let at = |n: usize| if plan.direct { archive.address(n) } else { caches[n].address };
+        let hosts = settings::hosts(plan, at);
         journal.hosts(true, &hosts);
         let serves: Vec<SocketAddr> = (0..plan.processes).map(|_| free()).collect();
         let own: Vec<SocketAddr> = (0..plan.processes).map(|_| free()).collect();
@@ -94,7 +78,8 @@
             let operator = peers.get(process).map(addresses);
             let operator =
                 operator.map(|to| settings::operator(plan, [own[process], serves[process]], &to, &key_file));
-            let config = settings::config(plan, process, listen, news[process].address, &journal.known());
+            let source = if plan.direct { journal.address() } else { news[process].address };
+            let config = settings::config(plan, process, listen, source, &journal.known());
             let (name, folder) = (settings::name(process), folder.join(settings::name(process)));
             Spec { program: program.clone(), number: process, name, config, operator, listen, folder }
         };
@@ -168,6 +153,16 @@
         self.signal(process, Signal::SIGCONT, Event::Woken { process })
     }
 
+    /// Has it read the operator's file again, with these lines in place of the plan's.
+    pub fn reread(&self, plan: &Plan, process: usize, lines: &str) -> Result<(), String> {
+        let slot = self.slot(process);
+        let running = slot.as_ref().ok_or_else(|| format!("n{process} is down"))?;
+        let old = self.specs[process].operator.as_deref().unwrap_or_default();
+        let new = old.strip_suffix(&*plan.operator).unwrap_or(old).to_string() + lines;
+        std::fs::write(running.folder().join("foldmux.star"), new).map_err(|e| e.to_string())?;
+        running.signal(Signal::SIGHUP)
+    }
+
     /// Tells it to leave and waits until it has.
     pub fn leave(&self, process: usize) -> Result<ExitStatus, String> {
         self.signal(process, Signal::SIGTERM, Event::Left { process })?;
