--- a/rigs/rig/src/fleet.rs
+++ b/rigs/rig/src/fleet.rs
@@ -2,14 +2,15 @@
 
 use crate::archive::Archive;
 use crate::customer::Customer;
-use crate::line::{Control, Line, Way};
+use crate::line::Line;
+use crate::news::News;
 use crate::plan::Plan;
 use crate::pools::Pools;
 use crate::process::{free, program, Process, Spec};
 use crate::record::{Event, Record};
 use crate::settings::{self, BOXES};
 use crate::who::Who;
-use foldmux_standins::journal::{hosts, Journal};
+use foldmux_standins::journal::Host;
 use nix::sys::signal::Signal;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -26,10 +27,14 @@
     running: Vec<Mutex<Option<Process>>>,
     specs: Vec<Spec>,
     /// By who dials, then by who is dialled.
-    peers: Vec<Vec<Line>>,
-    caches: Vec<Line>,
-    news: Line,
-    journal: Journal,
+    pub(crate) peers: Vec<Vec<Line>>,
+    pub(crate) caches: Vec<Line>,
+    pub(crate) news: Vec<Line>,
+    journal: News,
+    /// Where each process serves the journal, where the plan's lines say so.
+    pub(crate) serves: Vec<SocketAddr>,
+    pub(crate) hosts: Vec<Host>,
+    pub(crate) sites: usize,
     archive: Archive,
     record: Record,
     who: Who,
@@ -48,16 +53,19 @@
         let pools = settings::pools(&plan.operator);
         let cap = |(pool, slots): &(String, u64)| Event::Cap { pool: pool.clone(), slots: *slots };
         pools.iter().for_each(|pool| record.add(cap(pool)));
-        let archive = Archive::start(plan.archive, &record, &who, Pools::new(pools, plan.sites));
-        let to = |n: usize| archive.address(settings::kind(n, plan.sites));
-        let line = |n: usize| Line::to(&format!("cache {n}"), to(n), &who);
+        let archive = Archive::start(plan.archive, &record, &who, Pools::new(pools, plan.sites), plan.direct);
+        let line = |n: usize| Line::to(&format!("cache {n}"), archive.address(n), &who);
         let caches: Vec<Line> = (0..plan.sites * BOXES + 2).map(line).collect();
-        let journal = Journal::start();
-        let news = Line::to("journal", journal.address(), &who);
-        journal.tell(&hosts(true, &settings::hosts(plan, |n| caches[n].address)));
+        let journal = News::start(plan.sites, &record, &who);
+        let news = |n: usize| Line::by(Some(n), "journal", journal.address(), &who);
+        let news: Vec<Line> = (0..plan.processes).map(news).collect();
+        let at = |n: usize| if plan.direct { archive.address(n) } else { caches[n].address };
+        let hosts = settings::hosts(plan, at);
+        journal.hosts(true, &hosts);
+        let serves: Vec<SocketAddr> = (0..plan.processes).map(|_| free()).collect();
         let own: Vec<SocketAddr> = (0..plan.processes).map(|_| free()).collect();
         let count = if plan.fleet { plan.processes } else { 0 };
-        let peer = |from: usize, to: usize| Line::to(&format!("n{from} to n{to}"), own[to], &who);
+        let peer = |from: usize, to: usize| Line::by(Some(from), &format!("n{from} to n{to}"), own[to], &who);
         let peers: Vec<Vec<Line>> = (0..count).map(|i| (0..count).map(|j| peer(i, j)).collect()).collect();
         let key_file = folder.join("fleet.key");
         std::fs::write(&key_file, "0123456789abcdef".repeat(4)).map_err(|e| e.to_string())?;
@@ -68,14 +76,31 @@
             };
             let key_file = key_file.display().to_string();
             let operator = peers.get(process).map(addresses);
-            let operator = operator.map(|to| settings::operator(plan, own[process], &to, &key_file));
-            let config = settings::config(plan, process, listen, news.address, &journal.known());
+            let operator =
+                operator.map(|to| settings::operator(plan, [own[process], serves[process]], &to, &key_file));
+            let source = if plan.direct { journal.address() } else { news[process].address };
+            let config = settings::config(plan, process, listen, source, &journal.known());
             let (name, folder) = (settings::name(process), folder.join(settings::name(process)));
             Spec { program: program.clone(), number: process, name, config, operator, listen, folder }
         };
         let specs: Vec<Spec> = (0..plan.processes).map(spec).collect();
         let running = (0..plan.processes).map(|_| Mutex::default()).collect();
-        let fleet = Fleet { running, specs, peers, caches, news, journal, archive, record, who, folder };
+        let sites = plan.sites;
+        let fleet = Fleet {
+            running,
+            specs,
+            peers,
+            caches,
+            news,
+            journal,
+            serves,
+            hosts,
+            sites,
+            archive,
+            record,
+            who,
+            folder,
+        };
         (0..plan.processes).try_for_each(|n| fleet.restart(n))?;
         (0..plan.processes).try_for_each(|n| fleet.well(n))?;
         Ok(fleet)
@@ -95,6 +120,7 @@
         if slot.is_none() {
             *slot = Some(Process::start(&self.specs[process], &self.who, SOON)?);
             self.record.add(Event::Started { process });
+            self.reads(process, true);
         }
         Ok(())
     }
@@ -108,6 +134,7 @@
             // Written down first, so that nothing that follows from it comes before it.
             self.record.add(Event::Killed { process });
             running.kill();
+            self.reads(process, false);
         }
     }
 
@@ -142,6 +169,7 @@
         let leaving = self.slot(process).take().ok_or("it is down")?;
         let ended = leaving.ended(SOON);
         self.record.add(Event::Ended { process });
+        self.reads(process, false);
         ended
     }
 
@@ -160,45 +188,6 @@
         ended
     }
 
-    /// Cuts what `from` sends to its peer `to`, whoever dialled; with [`Way::Both`], what it hears as well.
-    pub fn cut(&self, from: usize, to: usize, way: Way) {
-        let (line, way_word) = (format!("n{from} to n{to}"), way.word().to_string());
-        self.record.add(Event::Cut { line, way: way_word });
-        let turned = [Way::Back, Way::There, Way::Both][way as usize];
-        if let (Some(there), Some(back)) = (self.line(from, to), self.line(to, from)) {
-            there.cut(way);
-            back.cut(turned);
-        }
-    }
-
-    pub fn heal(&self, from: usize, to: usize) {
-        self.record.add(Event::Healed { line: format!("n{from} to n{to}") });
-        [self.line(from, to), self.line(to, from)].into_iter().flatten().for_each(|line| line.heal());
-    }
-
-    /// Cuts a process off from all caches and sources, or heals that.
-    pub fn cut_archive(&self, process: usize, cut: Option<Way>) {
-        let line = format!("n{process} to the archive");
-        self.record.add(match cut {
-            Some(way) => Event::Cut { line, way: way.word().to_string() },
-            None => Event::Healed { line },
-        });
-        self.caches.iter().map(|line| line.of(process)).for_each(|own| match cut {
-            Some(way) => own.cut(way),
-            None => own.heal(),
-        });
-    }
-
-    /// Between two peers, as the first dials; none where they are no fleet.
-    pub fn line(&self, from: usize, to: usize) -> Option<Control<'_>> {
-        self.peers.get(from)?.get(to).map(Line::all)
-    }
-
-    /// A process's line to the journal service.
-    pub fn news(&self, process: usize) -> Control<'_> {
-        self.news.of(process)
-    }
-
     pub fn caches(&self) -> &[Line] {
         &self.caches
     }
@@ -207,7 +196,7 @@
         &self.archive
     }
 
-    pub fn journal(&self) -> &Journal {
+    pub fn journal(&self) -> &News {
         &self.journal
     }
 
@@ -223,6 +212,10 @@
         Customer::new(self.specs.iter().map(|spec| spec.listen).collect(), &self.record, patience)
     }
 
+    pub fn id(&self, process: usize) -> Option<u32> {
+        self.slot(process).as_ref().map(Process::id)
+    }
+
     /// What a process's log says; none while it is down.
     pub fn log(&self, process: usize) -> Vec<String> {
         self.slot(process).as_ref().map(|running| running.log.all()).unwrap_or_default()
--- a/rigs/rig/src/settings.rs
+++ b/rigs/rig/src/settings.rs
@@ -58,9 +58,11 @@
 /// The configuration of one process. `known`: what the journal service has told so far.
 pub fn config(plan: &Plan, process: usize, listen: SocketAddr, journal: SocketAddr, known: &str) -> String {
     let sites: Vec<String> = (0..plan.sites).map(|n| format!("\"site{n}\"")).collect();
+    // As long as the archive drops repeats; a real one does so for 2 s.
+    let window = plan.archive.window.map_or(2_000_000, |window| window.as_micros());
     let class = |name: &str, slo: u64, worth: f64, idempotency: &str| {
         format!(
-            r#"{{"name":"{name}","slo":{slo},"hardLimit":3000000,"aimStretch":2.0,"importance":{worth},"lateValue":0.1,"idempotency":"{idempotency}","group":"all","repeatWindow":2000000}}"#
+            r#"{{"name":"{name}","slo":{slo},"hardLimit":3000000,"aimStretch":2.0,"importance":{worth},"lateValue":0.1,"idempotency":"{idempotency}","group":"all","repeatWindow":{window}}}"#
         )
     };
     let mut classes = vec![
@@ -68,7 +70,13 @@
         class(READS[1], 250_000, 1.0, "free"),
         class(KEYED, 600_000, 3.0, "guarded"),
     ];
-    classes.extend(TENANTS.iter().take(plan.tenants).map(|name| class(name, 250_000, 1.0, "free")));
+    classes.extend(
+        TENANTS
+            .iter()
+            .take(plan.tenants)
+            .enumerate()
+            .map(|(n, name)| class(name, if n == 0 { 1_500_000 } else { 250_000 }, 1.0, "free")),
+    );
     let zeros = vec!["0"; plan.sites + 1].join(",");
     let mut counts = vec![0; plan.sites + 1];
     (0..plan.processes).for_each(|n| counts[1 + n % plan.sites] += 1);
@@ -91,8 +99,9 @@
     )
 }
 
-/// The operator's file of one process: the fleet as it sees it, each peer by the line to it; then the plan's own lines.
-pub fn operator(plan: &Plan, own: SocketAddr, peers: &[SocketAddr], key_file: &str) -> String {
+/// The operator's file of one process: the fleet as it sees it, each peer by the line to it; then the plan's own lines,
+/// where `{serve}` stands for where this process serves its site.
+pub fn operator(plan: &Plan, [own, serve]: [SocketAddr; 2], peers: &[SocketAddr], key_file: &str) -> String {
     let mut text = format!(
         "fleet(listen = \"{own}\", key_file = \"{key_file}\", lease_ms = {}, drift_percent = 1.0)\n",
         plan.lease.as_millis()
@@ -102,5 +111,5 @@
         text += &format!("peer(\"{name}\", address = \"{address}\", site = \"{site}\")\n");
     }
     (0..plan.seats).for_each(|n| text += &format!("seat(\"{}\")\n", name(n)));
-    text + &plan.operator
+    text + &plan.operator.replace("{serve}", &serve.to_string())
 }
