--- a/rigs/lab/src/main.rs
+++ b/rigs/lab/src/main.rs
@@ -22,11 +22,8 @@
   foldmux-lab plot STORM --out FILE.svg                      worth by second, with limits and without
   foldmux-lab fanout [--instances N] [--subscribers N] [--sites N] [--seconds N] [--seed N] [--patience-ms N] [--json] [--out FILE.svg]
                                                              a stream relayed by site, beside one poll each
-  foldmux-lab fleet [--seed N] [--instances N] [--seconds N] [--again FILE] [--out FILE]
-                                                             a fleet's pure parts, with a fault at any message; what
-                                                             breaks is shrunk
+  foldmux-lab fleet [--seed N] [--instances N] [--seconds N] [--again FILE] [--out FILE]  faults at any message
   foldmux-lab help
-
 The same scenario and seed give the same figures; repeats count the seed up.";
 
 /// A day, and what to hold it against.
