--- a/rigs/rig/src/cost.rs
+++ b/rigs/rig/src/cost.rs
@@ -3,7 +3,8 @@
 use crate::archive::Policy;
 use crate::check::percentile;
 use crate::customer::{key, Manner};
-use crate::fleet::{Fleet, Plan};
+use crate::fleet::Fleet;
+use crate::plan::Plan;
 use crate::record::Outcome;
 use crate::settings::KEYED;
 use crate::wired;
--- a/rigs/rig/src/main.rs
+++ b/rigs/rig/src/main.rs
@@ -1,6 +1,9 @@
-//! `make fleet-faults`, `make demo-fleet`, what cover costs: real processes, faults from a seed, a table, and a verdict by exit code.
+//! Real processes, faults from a seed, what cover costs, tenants beside a flood, the fan-out's figures: a table, and a
+//! verdict by exit code.
 
+use foldmux_rig::fanout;
 use foldmux_rig::faults::{self, Run};
+use foldmux_rig::neighbours;
 use foldmux_rig::schedule::Counts;
 use foldmux_rig::wired::{self, Wired};
 use foldmux_rig::Plan;
@@ -15,7 +18,9 @@
 const USAGE: &str = "\
 foldmux-rig faults [--seconds N] [--seed N] [--processes N] [--requests N] [--alone] [--record FILE]
 foldmux-rig demo [--seconds N] [--seed N] [--record FILE]
+foldmux-rig neighbours [--seconds N] [--seed N] [--processes N]
 foldmux-rig cost [--requests N] [--seed N]
+foldmux-rig fanout [--processes N] [--sites N] [--subscribers N] [--faults N] [--seed N]
 
   --alone   no fleet: what is lost and run twice without it
 The program is the foldmux beside this one, or what FOLDMUX names.";
@@ -25,7 +30,11 @@
     seconds: u64,
     seed: u64,
     processes: usize,
+    sized: bool,
     requests: Option<u64>,
+    sites: usize,
+    subscribers: u64,
+    faults: usize,
     alone: bool,
     record: Option<PathBuf>,
 }
@@ -37,7 +46,11 @@
         seconds: 0,
         seed: 1,
         processes: 8,
+        sized: false,
         requests: None,
+        sites: 4,
+        subscribers: 10_000,
+        faults: 8,
         alone: false,
         record: None,
     };
@@ -46,8 +59,14 @@
             Arg::Value(word) if line.command.is_empty() => line.command = word.string()?,
             Arg::Long("seconds") => line.seconds = parser.value()?.parse()?,
             Arg::Long("seed") => line.seed = parser.value()?.parse()?,
-            Arg::Long("processes") => line.processes = parser.value()?.parse()?,
+            Arg::Long("processes") => {
+                line.processes = parser.value()?.parse()?;
+                line.sized = true;
+            }
             Arg::Long("requests") => line.requests = Some(parser.value()?.parse()?),
+            Arg::Long("sites") => line.sites = parser.value()?.parse()?,
+            Arg::Long("subscribers") => line.subscribers = parser.value()?.parse()?,
+            Arg::Long("faults") => line.faults = parser.value()?.parse()?,
             Arg::Long("alone") => line.alone = true,
             Arg::Long("record") => line.record = Some(parser.value()?.into()),
             other => return Err(other.unexpected()),
@@ -63,6 +82,21 @@
         "demo" => {
             demo::play(line.seed, Duration::from_secs(if line.seconds == 0 { 30 } else { line.seconds }))
         }
+        "neighbours" => {
+            let sizes = if line.sized { vec![line.processes] } else { vec![1, 4, 16] };
+            neighbours::table(
+                line.seed,
+                Duration::from_secs(if line.seconds == 0 { 8 } else { line.seconds }),
+                &sizes,
+            )
+        }
+        "fanout" => fanout::play(&fanout::Size {
+            processes: line.processes,
+            sites: line.sites.clamp(1, line.processes),
+            subscribers: line.subscribers,
+            faults: line.faults,
+            seed: line.seed,
+        }),
         _ => Err(USAGE.to_string()),
     });
     match ran {
