--- a/deploy/foldmux.star
+++ b/deploy/foldmux.star
@@ -81,7 +81,7 @@
 # peer("n1", address = "127.0.0.1:7301", site = "helsinki")
 # peer("n2", address = "127.0.0.1:7302", site = "oulu")
 # [seat(name) for name in ["n0", "n1", "n2"]]
-# cover("mix-record", uncovered = "run", unclaimed = "finish", keep_ms = 2000)
-# stream("journal", slow = "all")
+# cover("mix-record", uncovered = "run", unclaimed = "finish", keep_ms = 2000, terms = False)
+# stream("journal", slow = "all", serve = "127.0.0.1:7400")
 # pool("archive", slots = 64, by = "tenant")
 # weight("studio", 3.0)
