Read a fleet's seats and drift in one place; keep a pool's waits within the settings

Three parts made the seats and the drift from the operator's file, each its own way: fleet/parts does it for all. A pool had the core's 300 ms once more and told waits beyond what the settings allow, also where they allow none; it is bounded by them now, with a test.

--- a/edge/proxy/src/cover/rules.rs
+++ b/edge/proxy/src/cover/rules.rs
@@ -1,8 +1,9 @@
 //! What the operator's file and the settings say of covered classes.
 
+use crate::fleet::parts::seats;
 use foldmux::interface::Repeat as Repeats;
 use foldmux_operator::{Fleet as Said, Unclaimed as Left, Uncovered as Not};
-use foldmux_seats::{Drift, Peer, Seats};
+use foldmux_seats::Peer;
 use foldmux_settings::Decoded;
 use foldmux_takeover::{Repeat, Rule, Rules, Setup, Unclaimed, Uncovered};
 use std::collections::HashMap;
@@ -56,9 +57,7 @@
     memory_mb: u64,
     seed: u64,
 ) -> Result<Setup, String> {
-    let drift = Drift::percent(said.drift_percent).map_err(|e| format!("fleet: {e}"))?;
-    let seats =
-        Seats::new(said.seats.iter().map(|name| Peer::new(name))).map_err(|e| format!("fleet: {e}"))?;
+    let (seats, drift) = seats(said)?;
     let way = said.round_trip_ms * 1_000;
     let (mut rules, mut longest) = (Rules::new(), 0);
     for cover in said.covers.iter().map(|said| &said.value) {
--- a/edge/proxy/src/relayed.rs
+++ b/edge/proxy/src/relayed.rs
@@ -2,6 +2,7 @@
 //! unless the operator's file names the stream.
 
 use crate::backoff::Backoff;
+use crate::fleet::parts::seats;
 use crate::journal::Journal;
 use foldmux_feed::desk::Tells;
 use foldmux_feed::{serve, Desk};
@@ -9,7 +10,7 @@
 use foldmux_fronts::listen::named;
 use foldmux_operator::{Fleet, Slow, Stream, StreamFirst};
 use foldmux_relay::{Ask, First, Relay, Setup};
-use foldmux_seats::{Drift, Peer, Seats};
+use foldmux_seats::Peer;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
@@ -37,7 +38,7 @@
         let Some(journal) = said.streams.iter().find(|stream| stream.name == JOURNAL) else {
             return Ok(None);
         };
-        let seats = Seats::new(said.seats.iter().map(|seat| Peer::new(seat)));
+        let (seats, drift) = seats(said)?;
         let life = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64);
         let setup = Setup {
             me: Peer::new(name),
@@ -45,8 +46,8 @@
             places: (said.peers.iter())
                 .map(|peer| (Peer::new(&peer.name), peer.site.split('/').map(Into::into).collect()))
                 .collect(),
-            seats: seats.map_err(|why| format!("fleet: {why}"))?,
-            drift: Drift::percent(said.drift_percent).map_err(|why| format!("fleet: {why}"))?,
+            seats,
+            drift,
             lease: said.lease_ms * 1_000,
             streams: vec![stream(journal)],
             readers: journal.readers as usize,
--- a/edge/proxy/src/server.rs
+++ b/edge/proxy/src/server.rs
@@ -34,7 +34,7 @@
 
 const TALLY_EVERY: Duration = Duration::from_secs(5);
 /// Advised with a refusal of the core's own (us), where clients follow as much.
-const SHED_WAIT: Time = 300_000;
+pub(crate) const SHED_WAIT: Time = 300_000;
 
 /// Runs until a signal ends it; an error is one plain line. `file` is where the configuration came from.
 /// `operator`: the operator's file and what it holds.
--- a/edge/proxy/src/turns.rs
+++ b/edge/proxy/src/turns.rs
@@ -4,6 +4,8 @@
 mod pool;
 mod weights;
 
+use crate::fleet::parts::seats;
+use crate::server::SHED_WAIT;
 use crate::turns::pool::{Pool, TurnPlace, Word};
 use crate::turns::weights::{keyed, weights};
 use crossbeam_channel::{bounded, Sender};
@@ -19,7 +21,7 @@
 use foldmux_fair::{Stock, Told};
 use foldmux_fleet::{Builder, Sink};
 use foldmux_operator::{Fleet as Said, PoolBy};
-use foldmux_seats::{Change, Drift, Peer, Seats};
+use foldmux_seats::{Change, Peer};
 use foldmux_settings::Decoded;
 use std::io;
 use std::sync::Arc;
@@ -104,7 +106,7 @@
             let figures = Figures::new(classes.len(), slow_over, longest);
             let mut local = Local::new(key_of, setup, figures, Stock::default());
             local.retune(0, &weights, Weight::ONE);
-            pools.push((kinds, Pool::new(key_of, by, local)));
+            pools.push((kinds, Pool::new(key_of, by, local, decoded.settings.retry_after.unwrap_or(0))));
             setups.push(PoolSetup {
                 key: key_of,
                 slots: pool.slots as u16,
@@ -113,9 +115,8 @@
                 unnamed: Weight::ONE.0,
             });
         }
-        let seats = Seats::new(said.seats.iter().map(|seat| Peer::new(seat)));
-        let seats = Change::settled(seats.map_err(|e| format!("fleet: {e}"))?);
-        let drift = Drift::percent(said.drift_percent).map_err(|e| format!("fleet: {e}"))?;
+        let (seats, drift) = seats(said)?;
+        let seats = Change::settled(seats);
         let peers = said.peers.iter().map(|peer| Peer::new(&peer.name)).collect();
         let setup = FleetSetup { own: Peer::new(name), life: life(seed), peers, seats, drift, pools: setups };
         let turns = Arc::new(Turns { members, pools });
@@ -215,7 +216,7 @@
         let (tell, told) = bounded(2);
         let ticket = match pool.enter(&request, &tell) {
             Asked::Now(used) => return Ok(Some(Box::new(TurnPlace::new(pool, used)))),
-            Asked::Refused(wait) => return Err(wait),
+            Asked::Refused(wait) => return Err(pool.advice(wait)),
             Asked::Waits(ticket) => ticket,
         };
         // A cancel that came before leaves it no turn.
@@ -226,7 +227,7 @@
         wanted.slot.release();
         match heard {
             Some(Word::Go(used)) => Ok(Some(Box::new(TurnPlace::new(pool, used)))),
-            Some(Word::Late) => Err(pool.advice()),
+            Some(Word::Late) => Err(pool.advice(SHED_WAIT)),
             _ => {
                 // It may have been told in this moment: then its slot comes back with the place.
                 if !pool.left(request.id, ticket) {
@@ -235,7 +236,7 @@
                         Word::Late | Word::Left => {}
                     });
                 }
-                Err(pool.advice())
+                Err(pool.advice(SHED_WAIT))
             }
         }
     }
--- a/edge/proxy/src/turns/pool.rs
+++ b/edge/proxy/src/turns/pool.rs
@@ -12,9 +12,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
-/// Advised where a turn did not come in time (us), as in [`foldmux_core::Core::shed_wait`].
-const AWAY: Time = 300_000;
-
 /// What one that waits is told.
 pub enum Word {
     Go(InUse),
@@ -31,14 +28,16 @@
     pub key: u64,
     pub by: By,
     began: Instant,
+    /// The longest wait that the settings let clients be told.
+    longest: Time,
     state: Mutex<State>,
     port: OnceLock<Port<Ask>>,
 }
 
 impl Pool {
-    pub fn new(key: u64, by: By, local: Local) -> Arc<Pool> {
+    pub fn new(key: u64, by: By, local: Local, longest: Time) -> Arc<Pool> {
         let state = Mutex::new(State { local, waiting: HashMap::new() });
-        Arc::new(Pool { key, by, began: Instant::now(), state, port: OnceLock::new() })
+        Arc::new(Pool { key, by, began: Instant::now(), longest, state, port: OnceLock::new() })
     }
 
     pub fn ask_by(&self, port: Port<Ask>) {
@@ -57,8 +56,9 @@
         self.at(Instant::now())
     }
 
-    pub fn advice(&self) -> Time {
-        AWAY
+    /// How long to stay away (us), as far as clients follow it.
+    pub fn advice(&self, wait: Time) -> Time {
+        wait.min(self.longest)
     }
 
     pub fn enter(&self, request: &Request, tell: &Sender<Word>) -> Asked {
@@ -190,7 +190,7 @@
             unnamed: Weight::ONE,
         };
         let local = Local::new(1, setup, Figures::new(1, 100_000, 3_000_000), Stock::own(1));
-        let pool = Pool::new(1, By::Class, local);
+        let pool = Pool::new(1, By::Class, local, 500_000);
         let long = pool.at(Instant::now()) + 60_000_000;
         let (tell, told) = bounded(2);
         let Asked::Now(used) = pool.enter(&request(1, long), &tell) else { panic!("a slot is free") };
@@ -199,6 +199,7 @@
         let (gone, nobody) = bounded(2);
         let Asked::Waits(_) = pool.enter(&request(3, long), &gone) else { panic!("it waits") };
         assert!(matches!(pool.enter(&request(4, 1), &tell), Asked::Refused(_)), "its time is over");
+        assert_eq!([pool.advice(400_000), pool.advice(700_000)], [400_000, 500_000], "as the settings allow");
         drop(nobody);
         assert!(told.try_recv().is_err());
         drop(first);
