Answer every open request before SIGKILL may come

Cause: only a request taken after SIGTERM was given the time that is left (msgpack `call`). One that was open before kept its client's whole deadline, which counts in full here and as 3 s at most where SIGKILL is concerned; edge/proxy/src/leave.rs waited for it up to 6 s, beyond the kill. Ruled out: the accept queue and half-read requests, which the exchanges `leave` cover.

The module now hears `Closing { by }`: no open request's deadline lies behind it, so that its own look at what is overdue gives each its final answer, refused where trying again is harmless, else failed. The desk calls off what is still out with any final answer of the module, also where the settings allow no cancel, as the request's thread would wait for that attempt's end.

--- a/edge/core/src/desk.rs
+++ b/edge/core/src/desk.rs
@@ -116,6 +116,7 @@
                     self.handle(Event::ClientGone { id });
                 }
             }
+            Notice::Closing { by } => self.handle(Event::Closing { by }),
             Notice::Members { full, listed } => {
                 let listed = self.members.one_at_an_address(full, listed);
                 let members = listed.iter().map(|l| l.member.clone()).collect();
@@ -183,8 +184,8 @@
                 open.attempts += 1;
                 open.orders.order(Order::Fetch(fetch, target));
             }
-            Action::Refuse { id, retry_after } => self.order(id, Order::Refuse { wait: retry_after }),
-            Action::Fail { id } => self.order(id, Order::Fail),
+            Action::Refuse { id, retry_after } => self.answer(id, Order::Refuse { wait: retry_after }),
+            Action::Fail { id } => self.answer(id, Order::Fail),
             Action::Cancel { id, attempt } => {
                 if let Some(open) = self.open.get(&id) {
                     open.slot.call_off(attempt);
@@ -201,8 +202,11 @@
         }
     }
 
-    fn order(&mut self, id: RequestId, order: Order) {
+    /// Gives a request its final answer. Guards against an attempt that is still out keeping the request's thread, and
+    /// with it the answer, until the attempt's own end.
+    fn answer(&mut self, id: RequestId, order: Order) {
         if let Some(open) = self.open.get(&id) {
+            open.slot.call_off(u8::MAX);
             open.orders.order(order);
         }
     }
--- a/edge/core/src/orders.rs
+++ b/edge/core/src/orders.rs
@@ -23,6 +23,10 @@
     Left(RequestId),
     /// The request's function has ended.
     Ended(RequestId),
+    /// This process ends: every open request has its final answer by then.
+    Closing {
+        by: Time,
+    },
     Members {
         full: bool,
         listed: Vec<Listed>,
--- a/edge/proxy/src/server.rs
+++ b/edge/proxy/src/server.rs
@@ -15,6 +15,7 @@
 use foldmux_core::clock::{span, Clock};
 use foldmux_core::limits::Limiter;
 use foldmux_core::members::Members;
+use foldmux_core::orders::Notice;
 use foldmux_core::{Core, Desk};
 use foldmux_extproc::serve::Bound as Processor;
 use foldmux_fronts::dns::server::Bound;
@@ -213,7 +214,9 @@
         let ended = serving.leave(LONGEST);
         tracing::info!("external processor: {}; all streams ended: {ended}", serving.line());
     }
-    let _ = leave_by.set(Instant::now() + until_killed(longest));
+    let end_by = Instant::now() + until_killed(longest);
+    let _ = leave_by.set(end_by);
+    core.desk.tell(Notice::Closing { by: core.clock.at(end_by) });
     leave(&core, &closing, &connections);
     own_fleet.into_iter().for_each(fleet::Running::end);
     Ok(())
--- a/src/interface/events.rs
+++ b/src/interface/events.rs
@@ -142,6 +142,10 @@
     ClientGone {
         id: RequestId,
     },
+    /// This process ends: every open request has its final answer by then.
+    Closing {
+        by: Time,
+    },
     /// Copies older than `ago` are out of date: of one object, or of a whole group.
     Purged {
         object: Option<ObjectId>,
--- a/src/router.rs
+++ b/src/router.rs
@@ -219,6 +219,7 @@
             Event::Timer { token: TICK_TOKEN } => self.on_tick(now, out),
             Event::Timer { .. } | Event::Probed { .. } | Event::Peer { .. } | Event::MembersFailed => {}
             Event::ClientGone { id } => self.close(id, out),
+            Event::Closing { by } => self.requests.values_mut().for_each(|r| r.deadline = r.deadline.min(by)),
             Event::Purged { object, group, ago } => self.on_purge(now, object, group, ago),
         }
     }
--- a/src/router/retry.rs
+++ b/src/router/retry.rs
@@ -99,9 +99,7 @@
         let slack = self.settings.answer_slack / 2;
         let overdue = |r: &Request| !r.started && now >= r.deadline + slack;
         let late: Vec<_> = self.requests.iter().filter(|(_, r)| overdue(r)).map(|(&id, _)| id).collect();
-        for id in late {
-            self.give_up(id, out);
-        }
+        late.into_iter().for_each(|id| self.give_up(id, out));
         let (ready, over) = (self.ready(), self.settings.longest_cold().max(OVER_LEAST) as f64);
         for (usual, ready) in self.usual.iter_mut().zip(ready) {
             *usual = ready.max(*usual + (ready - *usual) * TICK as f64 / over);
