Say with an attempt before when its first byte must leave

may_repeat_at (src/router/retry.rs) compares the time with the window in which the caches remember a keyed request when it decides; the attempt may dial and wait after that, so that a repeat of what may have run could be written once the caches had forgotten it, and run again. An order now carries `send_by`: for a keyed class the first attempt that may have run plus the class's window, else 0, no bound. The limits narrow it by their own window, and a way that the external processor hands out is not open any more past it.

Ruled out: a later check in the module, which does not hear of the dial.

--- a/edge/core/src/lent.rs
+++ b/edge/core/src/lent.rs
@@ -78,8 +78,9 @@
         match order {
             Order::Fetch(fetch, target) => {
                 self.out = Some(Out { target, told: false });
+                let in_time = fetch.may_begin(self.core.clock.now());
                 let allowed = |cache, start| self.core.members.allowed(cache, start);
-                let cache = allowed(fetch.cache, target.cache);
+                let cache = allowed(fetch.cache, target.cache).filter(|_| in_time);
                 let filled = fetch.source != fetch.cache;
                 let source = filled.then(|| allowed(fetch.source, target.source));
                 match (cache, source) {
@@ -101,6 +102,9 @@
 
     /// Whether a way that was kept may still be gone.
     pub fn open(&self, way: &Way) -> bool {
+        if !way.fetch.may_begin(self.core.clock.now()) {
+            return false;
+        }
         let allowed =
             |cache, start: Option<_>| start.is_some_and(|start| self.core.members.allows(cache, start));
         let source = way.source.is_none() || allowed(way.fetch.source, way.target.source);
--- a/edge/core/src/limits/held.rs
+++ b/edge/core/src/limits/held.rs
@@ -66,12 +66,22 @@
     pub fn narrow(&self, fetch: &mut Fetch) {
         let values = &self.resolved.values;
         fetch.time_out = values.time_out(fetch.time_out);
+        if let Some(by) = self.repeat_by() {
+            fetch.begin_by(by);
+        }
         fetch.keep = fetch.keep.min(values.keep.min(3) as u8);
         if self.resolved.from.get("stale_ms").is_some_and(|at| at != "today") {
             fetch.renew &= values.stale_ms > 0;
         }
     }
 
+    /// Before when a repeat of a keyed request must begin, by the window of its limits.
+    fn repeat_by(&self) -> Option<Time> {
+        let keyed = matches!(self.limiter.repeats.get(self.resolved.class), Some(Repeat::Keyed(_)));
+        let sent = self.sent.filter(|_| keyed)?;
+        Some(self.limiter.clock.at(sent + Duration::from_millis(self.resolved.values.window_ms)))
+    }
+
     /// A fill at a source, if there is room for one more.
     pub fn fill(&self, fetch: &Fetch) -> Option<Fill> {
         let most = self.resolved.values.fills;
--- a/edge/core/src/limits/tests.rs
+++ b/edge/core/src/limits/tests.rs
@@ -6,6 +6,7 @@
 use foldmux_limits::values::{Concurrency, Layer};
 use foldmux_limits::Account;
 use std::sync::mpsc::channel;
+use std::time::Instant;
 
 fn table(places: u64) -> Table {
     let layer = Layer {
@@ -71,6 +72,7 @@
         id: foldmux::interface::RequestId(1),
         cache: foldmux::interface::CacheId(1),
         time_out: 900_000,
+        send_by: 0,
         source: foldmux::interface::CacheId(2),
         keep: 3,
         max_age: 0,
@@ -84,3 +86,45 @@
     drop(old);
     assert_eq!(limiter.sizes(), [0, 0]);
 }
+
+#[test]
+fn a_repeat_begins_within_the_window_of_its_limits_and_of_the_module() {
+    const KEYED: usize = 2;
+    let repeats = vec![Repeat::Safe, Repeat::Safe, Repeat::Keyed(foldmux::interface::Group::All)];
+    let clock = Clock::default();
+    let layer = |window_ms| Layer {
+        attempts: Some(3),
+        window_ms: Some(window_ms),
+        concurrency: Some(Concurrency::Fixed { most: 4 }),
+        ..Layer::default()
+    };
+    let defaults = Some(Said { at: "f:1".into(), value: layer(2_000) });
+    let table = Table::new(&Account::default(), &Draft { defaults, ..Draft::default() });
+    let limiter = Limiter::new(table, clock.clone(), "turku".into(), repeats);
+    let bound = |class, never_ran, by| {
+        let mut held = held(limiter.enter(class, "", "msgpack", Box::new(|_| ())));
+        let began = Instant::now();
+        held.heard(began, false, never_ran);
+        let mut fetch = Fetch {
+            id: foldmux::interface::RequestId(1),
+            cache: foldmux::interface::CacheId(1),
+            time_out: 0,
+            send_by: by,
+            source: foldmux::interface::CacheId(1),
+            keep: 0,
+            max_age: 0,
+            join: false,
+            hold_only: false,
+            renew: false,
+        };
+        held.narrow(&mut fetch);
+        (fetch.send_by, clock.at(began) + 2_000_000)
+    };
+    let (by, window) = bound(KEYED, false, 0);
+    assert_eq!(by, window);
+    let (by, window) = bound(KEYED, false, Time::MAX);
+    assert_eq!(by, window);
+    assert_eq!(bound(KEYED, false, 5).0, 5, "the earlier bound holds");
+    assert_eq!(bound(KEYED, true, 0).0, 0, "nothing ran");
+    assert_eq!(bound(0, false, 0).0, 0, "it may run again");
+}
--- a/edge/upstream/tests/attempts.rs
+++ b/edge/upstream/tests/attempts.rs
@@ -24,6 +24,7 @@
         id: RequestId(1),
         cache: CACHE,
         time_out: 0,
+        send_by: 0,
         source: CACHE,
         keep: 0,
         max_age: 0,
--- a/src/interface/actions.rs
+++ b/src/interface/actions.rs
@@ -40,6 +40,9 @@
     pub cache: CacheId,
     /// 0: until the client gives up.
     pub time_out: Time,
+    /// Before when its first byte must leave; 0: no bound. Guards against a repeat that was decided while the caches
+    /// remembered the request, and comes to one that has forgotten it.
+    pub send_by: Time,
     /// Where a miss is filled from; the cache itself: no fill.
     pub source: CacheId,
     /// Rank of the copy, 1 to 3; 0 keeps none.
@@ -61,6 +64,16 @@
 }
 
 impl Fetch {
+    /// Whether its first byte may leave now.
+    pub fn may_begin(&self, now: Time) -> bool {
+        self.send_by == 0 || now < self.send_by
+    }
+
+    /// Bounds its first byte by another moment; the earlier one holds.
+    pub fn begin_by(&mut self, by: Time) {
+        self.send_by = if self.send_by == 0 { by } else { by.min(self.send_by) };
+    }
+
     /// What the caches are told beside the source, the rank and the age, in their words; none: an empty text.
     pub fn flags(&self) -> String {
         let flags = [(self.join, "coalesce"), (self.hold_only, "shallow"), (self.renew, "freshen")];
--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -20,6 +20,16 @@
     Cell,
 }
 
+impl Class {
+    /// Before when a repeat must begin of what was sent first at `sent`; 0: at any time.
+    pub fn repeat_by(&self, sent: Time) -> Time {
+        match self.repeat {
+            Repeat::Keyed(_) => sent.saturating_add(self.repeat_window),
+            Repeat::Safe | Repeat::SingleShot => 0,
+        }
+    }
+}
+
 impl Repeat {
     /// The number of a cache's group: within it, repeats of a keyed request are dropped.
     pub fn group_of(self, member: &Member) -> u32 {
--- a/src/router/send.rs
+++ b/src/router/send.rs
@@ -84,6 +84,7 @@
             id,
             cache: plan.cache,
             time_out,
+            send_by: request.may_have_run.map_or(0, |(sent, _)| class.repeat_by(sent)),
             source: plan.source,
             keep,
             max_age,
