Write no request on a connection that ended or spoke, nor for one that is over

Faults, all in edge/upstream/src/lib.rs (now attempt, head, proof), each forced on real sockets:

- A window that ends in the dial or in a wait: `head` checked members and time, not the repeat's window.
It does now, right before the first byte, and bounds the dial.
Without it the attempt is written (TimedOut, wanted NeverSent).
- An idle connection was looked at in `lend` alone.
A second answer that came between that and the first byte was served to the next request; a close was a Reset that may have run.
It is looked at again once the attempt holds it; where it is of no use nothing was written, so that another is dialled in its place, once.
Without the look three tests of tests/idle.rs fail.
- write_all did not say how much was taken.
A reset before the first byte was taken counted as one that may have run; it now says so (`Unwritten`), and the attempt goes on a new connection.
Without it the test of that reset fails.
- For a client that had left, a connection was dialled, and an attempt of which no byte was written ended Cancelled, which may have run.
It is NeverSent now, and nothing is dialled.
Without it two and three tests of tests/gone.rs fail.

Right already, and kept by tests: answers cut at any byte, silent after an interim answer or within one, without end, doubled in one piece; a reset in a request and after it; a dial that comes up after its request ended.

What can't be told: a second answer that arrives after the first byte of the next request was written. Tests of pool.rs move to a file of their own, with all their assertions. Run: all tests of foldmux-http1 and foldmux-upstream pass.

--- /dev/null
+++ b/edge/upstream/src/attempt.rs
@@ -0,0 +1,165 @@
+//! One attempt, from a connection to the end of its answer.
+
+use crate::pool::Loan;
+use crate::proof::{dial_outcome, judge, outcome_of, Ended};
+use crate::{Hears, Upstream};
+use foldmux::interface::Outcome;
+use foldmux_core::attempt::{Attempt, Got, Line};
+use foldmux_core::clock::span;
+use foldmux_core::members::Start;
+use foldmux_http1::io::{quiet, write_all, Unwritten};
+use foldmux_http1::{read_response, Broken};
+use std::net::{Shutdown, TcpStream};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A connection that an attempt is on: shut, its reader wakes.
+struct Held(Arc<TcpStream>);
+
+impl Line for Held {
+    fn cut(&self) {
+        let _ = self.0.shutdown(Shutdown::Both);
+    }
+}
+
+/// Why a request was not written whole.
+enum Unsent {
+    /// Its connection had been idle and is of no more use. No byte was written: another may be dialled.
+    Stale,
+    Ended(Outcome),
+}
+
+impl Upstream {
+    pub(crate) fn ended(&self, attempt: &Attempt, buffer: &mut [u8], hears: Hears) -> (Outcome, Option<Got>) {
+        let Ended { outcome, got } = self.make(attempt, buffer, hears);
+        attempt.slot.release();
+        if got.is_none() && attempt.slot.off(attempt.target.attempt) {
+            return (called_off(outcome), None);
+        }
+        (outcome, got)
+    }
+
+    fn make(&self, attempt: &Attempt, buffer: &mut [u8], hears: Hears) -> Ended {
+        let Attempt { fetch, target, .. } = attempt;
+        let until = match fetch.time_out {
+            0 => attempt.deadline,
+            time => attempt.deadline.min(target.decided + span(time)),
+        };
+        // No connection is opened to a cache that drains or is gone by now.
+        let Some(start) = target.cache.filter(|start| self.members.allows(fetch.cache, *start)) else {
+            return Ended::without(Outcome::NeverSent);
+        };
+        let Some(mut loan) = self.pool.lend(fetch.cache, start) else {
+            return Ended::without(Outcome::NeverSent);
+        };
+        loop {
+            match self.send(attempt, &mut loan, until) {
+                Ok(stream) => return self.receive(attempt, start, &mut loan, &stream, buffer, until, hears),
+                // Once at the most: the next is not an idle one.
+                Err(Unsent::Stale) => loan.renew(),
+                Err(Unsent::Ended(outcome)) => return Ended::without(outcome),
+            }
+        }
+    }
+
+    /// Writes the request, on a connection where a cancel finds it.
+    fn send(&self, attempt: &Attempt, loan: &mut Loan, until: Instant) -> Result<Arc<TcpStream>, Unsent> {
+        let never = || Unsent::Ended(Outcome::NeverSent);
+        let idle = loan.was_idle();
+        let stream = self.connection(attempt, loan, until).map_err(Unsent::Ended)?;
+        if !attempt.slot.hold(attempt.target.attempt, Arc::new(Held(stream.clone()))) {
+            return Err(never());
+        }
+        // Guards against an answer to nobody's request, which would pass for the answer to this one.
+        if !quiet(&stream) {
+            return Err(unusable(idle));
+        }
+        // Dialling took time, and the list may have changed in it: here, just before the first byte, the cache
+        // and the source must still be allowed and be the starts that the module meant, with time left.
+        let head = self.head(attempt, until).ok_or_else(never)?;
+        // Whoever owns a covered request may have lost it in any of these waits.
+        if attempt.guard.is_some_and(|guard| !guard.may_send()) {
+            return Err(never());
+        }
+        let body = attempt.inquiry.body.as_ref().map_or(&[][..], |(lease, n)| &lease[..*n]);
+        match write_all(&stream, &[head.as_bytes(), body], until) {
+            Ok(()) => Ok(stream),
+            Err(Unwritten { written: 0, cause: Broken::TimedOut }) => Err(never()),
+            Err(Unwritten { written: 0, .. }) => Err(unusable(idle)),
+            Err(Unwritten { cause, .. }) => Err(Unsent::Ended(outcome_of(cause))),
+        }
+    }
+
+    /// The loan's connection; one that is dialled must come up while the request may still be sent.
+    fn connection(
+        &self,
+        attempt: &Attempt,
+        loan: &mut Loan,
+        until: Instant,
+    ) -> Result<Arc<TcpStream>, Outcome> {
+        let time = self.time_to_begin(attempt, until);
+        if time.is_zero() || attempt.slot.off(attempt.target.attempt) {
+            return Err(Outcome::NeverSent);
+        }
+        loan.stream(time.min(self.dial_time_out)).map_err(|error| {
+            let late = !attempt.fetch.may_begin(self.clock.now());
+            if late {
+                Outcome::NeverSent
+            } else {
+                dial_outcome(error)
+            }
+        })
+    }
+
+    /// How long the request's first byte may still take.
+    fn time_to_begin(&self, attempt: &Attempt, until: Instant) -> Duration {
+        let left = until.saturating_duration_since(Instant::now());
+        match attempt.fetch.send_by {
+            0 => left,
+            by => left.min(span(by.saturating_sub(self.clock.now()))),
+        }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    fn receive(
+        &self,
+        attempt: &Attempt,
+        start: Start,
+        loan: &mut Loan,
+        stream: &TcpStream,
+        buffer: &mut [u8],
+        until: Instant,
+        hears: Hears,
+    ) -> Ended {
+        let response = read_response(stream, buffer, until);
+        // From here a cancel cuts nothing: the connection may be lent to another request.
+        attempt.slot.release();
+        match response {
+            Ok(response) => {
+                let load = response.load.clone();
+                load.into_iter().for_each(|at| hears(attempt.fetch.cache, start, &buffer[at]));
+                loan.reusable = response.reusable;
+                judge(response, buffer, attempt.inquiry.got.as_deref())
+            }
+            Err(broken) => Ended::without(outcome_of(broken)),
+        }
+    }
+}
+
+/// A connection that ended, or spoke, before a byte of the request was written: nothing ran.
+fn unusable(idle: bool) -> Unsent {
+    match idle {
+        true => Unsent::Stale,
+        false => Unsent::Ended(Outcome::ConnectFailed),
+    }
+}
+
+/// The end of an attempt that was called off: what the shut socket gave is no news of the cache, but what is known never
+/// to have run stays known.
+fn called_off(outcome: Outcome) -> Outcome {
+    match outcome {
+        Outcome::ConnectFailed => Outcome::NeverSent,
+        outcome if outcome.never_ran() => outcome,
+        _ => Outcome::Cancelled,
+    }
+}
--- a/edge/upstream/src/pool.rs
+++ b/edge/upstream/src/pool.rs
@@ -56,11 +56,23 @@
     start: Start,
     shelf: Arc<()>,
     stream: Option<Arc<TcpStream>>,
+    /// The stream was idle here, and not dialled for this loan.
+    idle: bool,
     /// Its last answer was read to the end: it may be used again.
     pub reusable: bool,
 }
 
 impl Loan {
+    /// Whether its connection was idle here: the other side may have closed it, or spoken on it, at any moment since.
+    pub fn was_idle(&self) -> bool {
+        self.idle
+    }
+
+    /// Closes its connection and keeps the place: the next is dialled.
+    pub fn renew(&mut self) {
+        (self.stream, self.idle) = (None, false);
+    }
+
     /// The connection; dialled now where none was idle.
     pub fn stream(&mut self, time_out: Duration) -> io::Result<Arc<TcpStream>> {
         if let Some(stream) = &self.stream {
@@ -116,7 +128,8 @@
             idle.min_by_key(|shelf| shelf.idle[0].since)?.idle.remove(0);
         }
         state.out += 1;
-        Some(Loan { pool: self.clone(), cache, start, shelf: own, stream, reusable: false })
+        let idle = stream.is_some();
+        Some(Loan { pool: self.clone(), cache, start, shelf: own, stream, idle, reusable: false })
     }
 
     /// Closes what was idle too long.
@@ -139,94 +152,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use std::io::Write;
-    use std::net::TcpListener;
-
-    const CACHE: CacheId = CacheId(1);
-
-    /// Lends and gives back a connection; the other side of it.
-    fn give_back(pool: &Arc<Pool>, listener: &TcpListener, start: Start) -> TcpStream {
-        let mut loan = pool.lend(CACHE, start).unwrap();
-        assert!(loan.stream.is_none());
-        loan.stream(Duration::from_secs(5)).unwrap();
-        loan.reusable = true;
-        listener.accept().unwrap().0
-    }
-
-    fn lends_idle(pool: &Arc<Pool>, start: Start) -> bool {
-        pool.lend(CACHE, start).unwrap().stream.is_some()
-    }
-
-    #[test]
-    fn idle_connections_are_lent_for_one_start_and_only_while_they_are_quiet() {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let start = Start { boot: 0, address: listener.local_addr().unwrap() };
-        let pool = Pool::new(8, Duration::from_secs(60));
-        let far = give_back(&pool, &listener, start);
-        assert_eq!(pool.count(), (0, 1));
-        assert!(lends_idle(&pool, start));
-        // Not given back as reusable: closed.
-        assert_eq!(pool.count(), (0, 0));
-        drop(far);
-        let _far = give_back(&pool, &listener, start);
-        assert!(!lends_idle(&pool, Start { boot: 9, ..start }));
-        // Closed by the other side; an answer that nobody asked for.
-        for speaks in [false, true] {
-            let mut far = give_back(&pool, &listener, start);
-            let near = pool.state().caches[&CACHE].idle[0].stream.clone();
-            if speaks {
-                far.write_all(b"x").unwrap();
-            } else {
-                far.shutdown(std::net::Shutdown::Both).unwrap();
-            }
-            near.peek(&mut [0]).unwrap();
-            assert!(!lends_idle(&pool, start));
-        }
-    }
-
-    #[test]
-    fn the_pool_bounds_all_connections_and_lets_go_of_what_is_old_or_discarded() {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let start = Start { boot: 0, address: listener.local_addr().unwrap() };
-        let pool = Pool::new(1, Duration::from_secs(60));
-        let _far = give_back(&pool, &listener, start);
-        // The only place goes to a request for another cache; while that is out there is none.
-        let loan = pool.lend(CacheId(2), start).unwrap();
-        assert_eq!(pool.count(), (1, 0));
-        assert!(pool.lend(CACHE, start).is_none());
-        drop(loan);
-        let _far = give_back(&pool, &listener, start);
-        pool.discard(CACHE);
-        assert_eq!(pool.count(), (0, 0));
-        let hasty = Pool::new(1, Duration::ZERO);
-        let _far = give_back(&hasty, &listener, start);
-        hasty.sweep();
-        assert_eq!(hasty.count(), (0, 0));
-    }
-
-    #[test]
-    fn what_is_out_when_its_cache_drains_is_closed_when_it_comes_home() {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let start = Start { boot: 0, address: listener.local_addr().unwrap() };
-        let pool = Pool::new(8, Duration::from_secs(60));
-        let lent = |pool: &Arc<Pool>| {
-            let mut loan = pool.lend(CACHE, start).unwrap();
-            loan.stream(Duration::from_secs(5)).unwrap();
-            loan.reusable = true;
-            loan
-        };
-        let (first, second) = (lent(&pool), lent(&pool));
-        drop(first);
-        assert_eq!(pool.count(), (1, 1));
-        pool.discard(CACHE);
-        drop(second);
-        assert_eq!(pool.count(), (0, 0), "closed, not kept");
-        // It comes back under the same start: what is dialled from then on is kept again.
-        drop(lent(&pool));
-        assert_eq!(pool.count(), (0, 1));
-        pool.sweep();
-        assert_eq!(pool.count(), (0, 1));
-    }
-}
+mod tests;
--- a/rigs/standins/src/client.rs
+++ b/rigs/standins/src/client.rs
@@ -40,7 +40,7 @@
     }
 
     pub fn send(&self, bytes: &[u8]) -> Result<(), Broken> {
-        write_all(&self.stream, &[bytes], Instant::now() + self.time)
+        Ok(write_all(&self.stream, &[bytes], Instant::now() + self.time)?)
     }
 
     pub fn read(&self, no_body: bool) -> Result<Answer, Broken> {
--- a/shared/http1/src/answer.rs
+++ b/shared/http1/src/answer.rs
@@ -1,33 +1,17 @@
 //! One answer read whole into one buffer, or its head alone.
 
-use crate::bounds::MOST_HEADERS;
+mod head;
+
 pub use crate::bounds::{Broken, MOST_HEAD};
 use crate::io::read_some;
+use head::{parse_head, Head};
+pub use head::{Length, Response};
 use std::net::TcpStream;
-use std::ops::Range;
 use std::time::Instant;
 
 /// Most interim answers (1xx) before the one that counts.
 const MOST_INTERIM: usize = 8;
 
-#[derive(Debug, PartialEq)]
-pub struct Response {
-    pub status: u16,
-    pub body: Range<usize>,
-    /// The connection may carry another request.
-    pub reusable: bool,
-    /// `Srv-Untouched: 1`.
-    pub untouched: bool,
-    /// Where the value of `Srv-Load` stands in the buffer; of two such fields neither counts.
-    pub load: Option<Range<usize>>,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Length {
-    Known(usize),
-    Chunked,
-}
-
 /// Reads one answer. The buffer bounds its length; the deadline bounds the whole, not each read.
 pub fn read_response(stream: &TcpStream, buffer: &mut [u8], deadline: Instant) -> Result<Response, Broken> {
     let mut filled = 0;
@@ -117,64 +101,6 @@
     }
 }
 
-enum Head {
-    /// Where the answer that counts begins.
-    Interim(usize),
-    Final(Response, Length),
-}
-
-/// The head, once it is whole. Guards against an answer that nothing proves whole: one without a length, which
-/// ends alike whether it was cut or not, and one whose lengths are several, signed, or at odds.
-fn parse_head(bytes: &[u8], field: &mut dyn FnMut(&str, &[u8])) -> Result<Option<Head>, Broken> {
-    let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
-    let mut head = httparse::Response::new(&mut headers);
-    let start = match head.parse(bytes) {
-        Ok(httparse::Status::Complete(n)) => n,
-        Ok(httparse::Status::Partial) => return Ok(None),
-        Err(_) => return Err(Broken::Unreadable),
-    };
-    let status = match head.code {
-        // Another protocol was not asked for.
-        None | Some(0..=99 | 101 | 600..) => return Err(Broken::Unreadable),
-        Some(100..=199) => return Ok(Some(Head::Interim(start))),
-        Some(status) => status,
-    };
-    let mut reusable = head.version == Some(1);
-    let (mut untouched, mut length) = (false, None);
-    let (mut load, mut doubled) = (None, false);
-    for header in head.headers.iter() {
-        let value = header.value.trim_ascii();
-        if header.name.eq_ignore_ascii_case("content-length") {
-            let digits = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
-            let number = std::str::from_utf8(value).ok().filter(|_| digits).and_then(|v| v.parse().ok());
-            let number = number.filter(|_| length.is_none()).ok_or(Broken::Unreadable)?;
-            length = Some(Length::Known(number));
-        } else if header.name.eq_ignore_ascii_case("transfer-encoding") {
-            if !value.eq_ignore_ascii_case(b"chunked") || length.is_some() || head.version != Some(1) {
-                return Err(Broken::Unreadable);
-            }
-            length = Some(Length::Chunked);
-        } else if header.name.eq_ignore_ascii_case("connection") {
-            reusable &= !value.split(|b| *b == b',').any(|w| w.trim_ascii().eq_ignore_ascii_case(b"close"));
-        } else if header.name.eq_ignore_ascii_case("srv-untouched") {
-            untouched = value == b"1";
-        } else if header.name.eq_ignore_ascii_case("srv-load") {
-            // It is a part of the head, which stays where it is while the rest is read.
-            let at = value.as_ptr() as usize - bytes.as_ptr() as usize;
-            (doubled, load) = (load.is_some(), Some(at..at + value.len()));
-            field(header.name, value);
-        } else {
-            field(header.name, value);
-        }
-    }
-    let length = match status {
-        204 | 304 => Length::Known(0),
-        _ => length.ok_or(Broken::Unreadable)?,
-    };
-    let load = load.filter(|_| !doubled);
-    Ok(Some(Head::Final(Response { status, body: start..start, reusable, untouched, load }, length)))
-}
-
 fn read_more(
     stream: &TcpStream,
     buffer: &mut [u8],
