Give idle request threads back, and outlive a moment without threads

Not seen: the refused spawn itself in a process's log.

Lines at fault: a thread of requests never ended (edge/core/src/threads.rs, `for job in jobs`); a connection whose thread could not be started was dropped with the closure (edge/fronts/src/listen.rs, `named`); the log's library panics where its thread can't be started (edge/proxy/src/log.rs), which is exit code 101. Ruled out: descriptors (44 of 672 at most) and memory (3 of 64 MB).

A thread of requests ends after a second without one. A thread that can't be started for want of threads is asked for again for a second, with what it was to run kept. The log's panic is a plain error. The thread that watched the desk is gone: the desk's own thread ends the process.

--- a/edge/core/src/threads.rs
+++ b/edge/core/src/threads.rs
@@ -1,4 +1,4 @@
-//! The threads of requests: as many as were ever open at once, up to a bound, each used again.
+//! The threads of requests: as many as are open at once, up to a bound, each used again for a while.
 
 use crate::core::{Claim, Core, Job, Work};
 use crate::cover::{self, Hold};
@@ -6,14 +6,18 @@
 use crate::request::serve;
 use crate::slot::Slot;
 use crate::tally::End;
-use crossbeam_channel::{bounded, Sender};
+use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, MutexGuard, PoisonError};
 use std::thread;
+use std::time::Duration;
 
 /// Stack of a request's thread: its bytes are in pooled buffers.
 const STACK: usize = 128 * 1024;
+/// How long a thread waits for another request before it ends. Some ten thousand times what starting one costs, and short
+/// enough that a burst's threads are given back: a machine bounds the threads of all its processes together.
+const IDLE: Duration = Duration::from_secs(1);
 
 impl Core {
     /// Starts a request, or sheds it at once where the program is full.
@@ -58,24 +62,42 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// One more thread: there are as many as requests were ever open at once.
+    /// Takes a thread off the idle ones, so that it can end; false where it was given a job meanwhile.
+    fn retire(&self, thread: &Sender<Job>) -> bool {
+        let mut idle = self.idle();
+        let place = idle.iter().position(|other| other.same_channel(thread));
+        place.map(|at| idle.remove(at)).is_some()
+    }
+
+    /// One more thread, where none is idle.
     fn spawn(self: &Arc<Core>) -> std::io::Result<Sender<Job>> {
         let core = self.clone();
         let (sender, jobs) = bounded(1);
         let own = sender.clone();
         let thread = thread::Builder::new().name("request".into()).stack_size(STACK);
-        thread.spawn(move || {
-            for job in jobs {
-                let Job { _claim, inquiry, slot, work } = job;
-                // Guards against a fault in one request ending the thread: its drops have given all back.
-                let _ = catch_unwind(AssertUnwindSafe(|| match work {
-                    Work::Client(reply) => serve(&core, inquiry, &slot, reply),
-                    Work::Taken(hold) => cover::finish(&core, inquiry, &slot, &*hold),
-                }));
-                core.idle().push(own.clone());
-                core.open.fetch_sub(1, Ordering::SeqCst);
-            }
-        })?;
+        thread.spawn(move || core.serve_jobs(&jobs, &own))?;
         Ok(sender)
     }
+
+    /// The life of a request's thread: one job after the other, until none has come for a while.
+    fn serve_jobs(&self, jobs: &Receiver<Job>, own: &Sender<Job>) {
+        loop {
+            match jobs.recv_timeout(IDLE) {
+                Ok(job) => self.serve_job(job),
+                Err(RecvTimeoutError::Timeout) if !self.retire(own) => continue,
+                Err(_) => return,
+            }
+            self.idle().push(own.clone());
+            self.open.fetch_sub(1, Ordering::SeqCst);
+        }
+    }
+
+    fn serve_job(&self, job: Job) {
+        let Job { _claim, inquiry, slot, work } = job;
+        // Guards against a fault in one request ending the thread: its drops have given all back.
+        let _ = catch_unwind(AssertUnwindSafe(|| match work {
+            Work::Client(reply) => serve(self, inquiry, &slot, reply),
+            Work::Taken(hold) => cover::finish(self, inquiry, &slot, &*hold),
+        }));
+    }
 }
--- a/edge/fronts/src/listen.rs
+++ b/edge/fronts/src/listen.rs
@@ -4,15 +4,20 @@
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Longest that an acceptor sleeps in `accept` before it looks whether it is to close.
 pub const LOOK_EVERY: Duration = Duration::from_millis(100);
 /// Connections that the kernel holds for a listener before they are taken.
 const BACKLOG: i32 = 1024;
 
+/// How long a thread is asked for where the machine has none left, and the pause between two tries. Well within the time in
+/// which a process must be ready, and in which a client is owed a word.
+const THREADS_BACK: Duration = Duration::from_secs(1);
+const THREADS_AGAIN: Duration = Duration::from_millis(10);
+
 /// Stack of a thread that reads a connection.
 pub const READER_STACK: usize = 96 * 1024;
 
@@ -21,8 +26,38 @@
     stack: usize,
     body: impl FnOnce() + Send + 'static,
 ) -> Result<thread::JoinHandle<()>, String> {
-    let thread = thread::Builder::new().name(name.to_string()).stack_size(stack);
-    thread.spawn(body).map_err(|e| format!("thread {name}: {e}"))
+    let body = Arc::new(Mutex::new(Some(body)));
+    let spawn = || {
+        let body = body.clone();
+        let thread = thread::Builder::new().name(name.to_string()).stack_size(stack);
+        thread.spawn(move || run_once(&body))
+    };
+    again_while_none_are_left(THREADS_BACK, spawn).map_err(|e| format!("thread {name}: {e}"))
+}
+
+/// Runs what a failed spawn would have dropped, a connection's place and stream among it.
+fn run_once(body: &Mutex<Option<impl FnOnce()>>) {
+    let taken = body.lock().unwrap_or_else(PoisonError::into_inner).take();
+    if let Some(body) = taken {
+        body();
+    }
+}
+
+/// Guards against a machine that has no thread left for a moment: whatever the processes beside this one do, a start must not
+/// fail for it, nor a connection that was taken be closed without a word.
+fn again_while_none_are_left<T>(
+    patience: Duration,
+    mut spawn: impl FnMut() -> io::Result<T>,
+) -> io::Result<T> {
+    let until = Instant::now() + patience;
+    loop {
+        match spawn() {
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock && Instant::now() < until => {
+                thread::sleep(THREADS_AGAIN);
+            }
+            done => return done,
+        }
+    }
 }
 
 /// A listener that another process may hold on the same address at once (SO_REUSEPORT): a new version starts
@@ -96,6 +131,9 @@
     }
 }
 
+#[cfg(test)]
+mod spawn_tests;
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/edge/proxy/src/log.rs
+++ b/edge/proxy/src/log.rs
@@ -1,7 +1,8 @@
 //! The log: lines on standard error, plain or as JSON, through a bounded queue that drops rather than waits, so that
 //! no thread of the program is ever held up by whoever reads it.
 
-use tracing_appender::non_blocking::{NonBlockingBuilder, WorkerGuard};
+use std::panic::catch_unwind;
+use tracing_appender::non_blocking::{NonBlocking, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
 /// Lines that wait to be written; those beyond are dropped and counted by the writer.
@@ -23,17 +24,20 @@
     }
 }
 
+/// The queue and the thread that writes from it. The library panics where the machine has no thread left: here that is an
+/// error like any other at the start.
+fn writer() -> Result<(NonBlocking, WorkerGuard), String> {
+    let builder = NonBlockingBuilder::default().lossy(true).buffered_lines_limit(QUEUE).thread_name("log");
+    catch_unwind(|| builder.finish(std::io::stderr())).map_err(|_| "log: no thread to write it".to_string())
+}
+
 /// Starts the log; what is queued is written when the guard is dropped. `level`: a level or a filter by module, else
 /// what FOLDMUX_LOG says, else `info`.
 pub fn start(form: Form, level: Option<&str>) -> Result<WorkerGuard, String> {
     let variable = std::env::var("FOLDMUX_LOG").ok();
     let filter = level.or(variable.as_deref()).unwrap_or("info");
     let filter = EnvFilter::try_new(filter).map_err(|e| format!("log level {filter:?}: {e}"))?;
-    let (writer, guard) = NonBlockingBuilder::default()
-        .lossy(true)
-        .buffered_lines_limit(QUEUE)
-        .thread_name("log")
-        .finish(std::io::stderr());
+    let (writer, guard) = writer()?;
     let lines = tracing_subscriber::fmt().with_env_filter(filter).with_writer(writer).with_ansi(false);
     let set = match form {
         Form::Plain => lines.with_target(false).try_init(),
--- a/edge/proxy/src/server.rs
+++ b/edge/proxy/src/server.rs
@@ -27,16 +27,28 @@
 use foldmux_upstream::{pool::Pool, Upstream};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
+use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock, RwLock};
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// Stack of the thread that decides.
+const DESK_STACK: usize = 512 * 1024;
+/// The exit code where the desk has ended.
+const DESK_ENDED: i32 = 3;
 const TALLY_EVERY: Duration = Duration::from_secs(5);
 /// Advised with a refusal of the core's own (us), where clients follow as much.
 pub(crate) const SHED_WAIT: Time = 300_000;
 
+/// The desk ends only by a fault: then nothing can be decided any more, and the platform must see it.
+fn run_desk(desk: Desk) {
+    let _ = catch_unwind(AssertUnwindSafe(|| desk.run()));
+    eprintln!("the desk ended: no decisions can be made");
+    std::process::exit(DESK_ENDED);
+}
+
 /// Runs until a signal ends it; an error is one plain line. `file` is where the configuration came from.
 /// `operator`: the operator's file and what it holds.
 pub fn run(config: Config, file: &Path, operator: Option<(&Path, Operator)>) -> Result<(), String> {
@@ -103,7 +115,7 @@
         let serial = dns.notify(&mut desk)?;
         dns.serve(core.clone(), routed(&tune), serial, bounds.dns)?;
     }
-    let desk = named("desk", 512 * 1024, move || desk.run())?;
+    named("desk", DESK_STACK, move || run_desk(desk))?;
 
     let listed = Arc::new(AtomicBool::new(false));
     let names = Names { zones: decoded.zones, kinds: decoded.kinds };
@@ -183,12 +195,6 @@
         pool.sweep(); // also where there is no journal service
         told.tally.line().iter().for_each(|line| tracing::info!("{line}; {} open", told.open()));
     })?;
-    // The desk ends only by a fault: then nothing can be decided any more, and the platform must see it.
-    named("watch", READER_STACK, move || {
-        let _ = desk.join();
-        eprintln!("the desk ended: no decisions can be made");
-        std::process::exit(3);
-    })?;
     for _ in signals.forever().take_while(|signal| *signal == SIGHUP) {
         let reloaded = reload(file, &service, &mut tune, &retuned);
         let count = if reloaded.is_ok() { &sources.conf_loaded } else { &sources.conf_invalid };
