Hold cold caches to what all of 20 to 30 routers send them together

The acceptance counts what all processes send a cold cache within the window of the settings: no more than N + 2 x root of N + 2, where each process may send less than one request.

N is taken from what one server carried before, which is the least that it may bear. The number of routers that the settings tell changes no send: the module does not use it.

A test of what holds already: no change of the module.

--- a/tests/common/world.rs
+++ b/tests/common/world.rs
@@ -36,6 +36,8 @@
     pub sent: Vec<Sent>,
     pub refused: Vec<(Time, Time)>,
     pub asked: usize,
+    /// Requests a second at each, where they are not all alike.
+    pub rates: Vec<f64>,
     /// Requests a second at each; objects that they are for (0: each for one of its own).
     pub rate: f64,
     pub objects: u64,
@@ -57,6 +59,7 @@
             sent: Vec::new(),
             refused: Vec::new(),
             asked: 0,
+            rates: Vec::new(),
             rate,
             objects: 0,
             queue: BinaryHeap::new(),
@@ -75,7 +78,8 @@
 
     fn arrive(&mut self, front: usize) {
         let part = (self.draws.draw() >> 11) as f64 / (1u64 << 53) as f64;
-        let gap = (2.0 * part / self.rate * SECOND as f64) as Time;
+        let rate = self.rates.get(front).copied().unwrap_or(self.rate);
+        let gap = (2.0 * part / rate * SECOND as f64) as Time;
         self.push(self.now + gap, front, Next::Arrival);
     }
 
