Tell every fault of a configuration in a line of its own, and bound what settings may say

Seen: a configuration with several faults told the first alone; a wrong type was told without its key; times near 2^64 were taken, and the module's sums with them left their type (src/router/send.rs:62, fresh time and grace; src/router/place.rs, aim and stretch): a panic where overflow is checked, a wrapped time where not. Limits of 2^64-1 did the same in `Bounds::new`. `check-config` did not see a class that is named twice, or without a name; zones and kinds out of their lists went through. A dial's time of 0 failed every dial. A request could be given more attempts than the byte that numbers them has.

Documents are now read key by key (shared/settings/src/section.rs) and every fault is noted under its key's path. Times are bounded by a hundred years, factors by 1,000, zones by 65,535; attempts beyond 255 are 255. Null counts as left out.

`dialTimeout` and `keepalive` had one deployment's figures where they are not told (400 ms, 15 s). A dial may now take the least aim then, and no idle connection is used again, as nothing says that it is open.

Tests: shared/settings/tests/faults.rs, edge/proxy/tests/unusable.rs (the program itself), tests/settings/extreme.rs. With the bound on times taken out, `settings_at_the_ends_of_their_bounds_are_refused_or_panic_nowhere` fails: "attempt to add with overflow", src/router/send.rs:62.

Changed tests: two held one line for a document with several faults; they now count a line for each (`{}` lacks three keys; without `slo` both classes lack it), and the lines must name their keys. The tests of shared/settings moved to tests/.

--- a/edge/proxy/src/config.rs
+++ b/edge/proxy/src/config.rs
@@ -1,31 +1,23 @@
 //! What an edge proxy is told: one JSON document, decoded once into the values that the program uses.
 
 use crate::journal::Feed;
-use foldmux_settings::{Decoded, Facts};
-use serde::Deserialize;
+use foldmux_settings::section::{Faults, Section};
+use foldmux_settings::{decode, Decoded};
+use simd_json::OwnedValue;
 use std::net::SocketAddr;
 use std::path::Path;
 
-#[derive(Deserialize)]
-struct Document {
-    #[serde(default)]
-    name: String,
-    listen: SocketAddr,
-    #[serde(default)]
-    seed: String,
-    limits: Limits,
-    journal: Option<SocketAddr>,
-    /// The operator line's address.
-    operator: Option<SocketAddr>,
-    #[serde(default)]
-    known: Feed,
-    settings: Facts,
-}
+/// Least limits that the program can serve with.
+const LEAST_SOCKETS: usize = 64;
+const LEAST_MEMORY_MB: usize = 16;
+/// Greatest limits: beyond any machine's, and far from where a bound that follows from them leaves its type.
+const MOST: usize = 1 << 24;
 
-#[derive(Deserialize)]
-struct Limits {
-    memory_mb: usize,
-    sockets: usize,
+/// The limits on the process, as the platform sets them.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    pub memory_mb: usize,
+    pub sockets: usize,
 }
 
 /// Every bound of the program, from the limits on descriptors and memory.
@@ -43,7 +35,7 @@
 }
 
 impl Bounds {
-    fn new(limits: &Limits) -> Bounds {
+    pub fn new(limits: &Limits) -> Bounds {
         let sockets = limits.sockets;
         // Buffers may take 7/10 of the memory; each request needs one, and writes one more.
         let buffers = (limits.memory_mb * 1024 * 1024 * 7 / 10 / foldmux_core::buffers::SIZE).max(8);
@@ -71,16 +63,37 @@
     pub decoded: Decoded,
 }
 
+/// All that is wrong with a configuration, a plain line each.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Unusable(pub Vec<String>);
+
+impl Unusable {
+    fn one(line: String) -> Unusable {
+        Unusable(vec![line])
+    }
+
+    /// On one line, for the log.
+    pub fn on_one_line(&self) -> String {
+        self.0.join("; ")
+    }
+}
+
+/// A line each, as the program prints what ends it.
+impl From<Unusable> for String {
+    fn from(unusable: Unusable) -> String {
+        unusable.0.join("\nfoldmux: ")
+    }
+}
+
 /// The configuration in a file, with what the environment overrides.
-pub fn read(file: &Path) -> Result<Config, String> {
-    let bytes = std::fs::read(file).map_err(|e| format!("{}: {e}", file.display()))?;
+pub fn read(file: &Path) -> Result<Config, Unusable> {
+    let bytes = std::fs::read(file).map_err(|e| Unusable::one(format!("{}: {e}", file.display())))?;
     let mut config = parse(bytes)?;
     if let Ok(listen) = std::env::var("GW_LISTEN") {
-        config.listen = listen.parse().map_err(|_| format!("GW_LISTEN {listen:?} is no address"))?;
+        config.listen = address("GW_LISTEN", &listen)?;
     }
     if let Ok(operator) = std::env::var("GW_OPERATOR") {
-        let address = operator.parse().map_err(|_| format!("GW_OPERATOR {operator:?} is no address"))?;
-        config.operator = Some(address);
+        config.operator = Some(address("GW_OPERATOR", &operator)?);
     }
     if let Ok(name) = std::env::var("GW_NAME") {
         config.name = name;
@@ -88,34 +101,109 @@
     Ok(config)
 }
 
+fn address(variable: &str, text: &str) -> Result<SocketAddr, Unusable> {
+    text.parse().map_err(|_| Unusable::one(format!("{variable} {text:?} is no address")))
+}
+
+/// The configuration, or all that is wrong with it.
+pub fn parse(mut bytes: Vec<u8>) -> Result<Config, Unusable> {
+    let document: OwnedValue =
+        simd_json::serde::from_slice(&mut bytes).map_err(|e| Unusable::one(format!("configuration: {e}")))?;
+    let faults = Faults::default();
+    let config = whole(&Section::new("configuration", &document, &faults));
+    match faults.into_lines() {
+        lines if lines.is_empty() => Ok(config),
+        lines => Err(Unusable(lines)),
+    }
+}
+
+/// Where faults are noted, what comes of it is not to be used.
+fn whole(document: &Section) -> Config {
+    let settings = document.section("settings");
+    let decoded = decode(&settings);
+    named_once(&settings, &decoded.classes);
+    placed(&settings, &decoded);
+    let name: String = document.optional("name").unwrap_or_default();
+    let nowhere = SocketAddr::from(([0, 0, 0, 0], 0));
+    let listen = document.optional("listen").unwrap_or(nowhere);
+    if document.is_there() && document.get("listen").is_none() {
+        document.fault("listen", "missing");
+    }
+    let limits = limits(&document.section("limits"));
+    Config {
+        seed: seed(document, &name, listen),
+        name,
+        listen,
+        journal: document.optional("journal"),
+        operator: document.optional("operator"),
+        known: known(document),
+        bounds: Bounds::new(&limits),
+        limits: [limits.sockets as u64, limits.memory_mb as u64],
+        decoded,
+    }
+}
+
+/// Clients name a class by its name: each has one of its own.
+fn named_once(settings: &Section, names: &[String]) {
+    for (place, name) in names.iter().enumerate() {
+        let key = format!("classes[{place}].name");
+        if name.is_empty() {
+            settings.fault(&key, "it is empty or missing");
+        } else if names[..place].contains(name) {
+            settings.fault(&key, format_args!("class {name:?} is named twice"));
+        }
+    }
+}
+
+/// Where the settings name zones and kinds, this proxy's zone and the kinds of parents and origin are among them.
+fn placed(settings: &Section, decoded: &Decoded) {
+    let among = |key: &str, number: usize, list: &str, names: &[String]| {
+        if !names.is_empty() && number >= names.len() {
+            settings.fault(key, format_args!("{number} is none of the {} in {list}", names.len()));
+        }
+    };
+    let told = &decoded.settings;
+    among("locality", told.zone, "dcs", &decoded.zones);
+    among("domain.originKind", told.origin_kind, "kinds", &decoded.kinds);
+    told.parent_kind.iter().for_each(|kind| among("domain.midKind", *kind, "kinds", &decoded.kinds));
+}
+
+fn limits(section: &Section) -> Limits {
+    let limit = |key: &str, least: usize| {
+        let limit: usize = section.required(key);
+        let there = section.get(key).is_some();
+        if there && limit < least {
+            section.fault(key, format_args!("{limit} is too little to serve with; {least} at least"));
+        }
+        if limit > MOST {
+            section.fault(key, format_args!("{limit} is over {MOST}"));
+        }
+        limit.min(MOST)
+    };
+    Limits { memory_mb: limit("memory_mb", LEAST_MEMORY_MB), sockets: limit("sockets", LEAST_SOCKETS) }
+}
+
+fn seed(document: &Section, name: &str, listen: SocketAddr) -> u64 {
+    let text: String = document.optional("seed").unwrap_or_default();
+    if text.is_empty() {
+        // Where none is told: proxies must not draw alike.
+        return unlike(name, listen);
+    }
+    u64::from_str_radix(&text, 16).unwrap_or_else(|_| {
+        document.fault("seed", format_args!("{text:?} is no hexadecimal number of 64 bits"));
+        0
+    })
+}
+
 /// A seed for a proxy that is told none: its own by name and address.
 fn unlike(name: &str, listen: SocketAddr) -> u64 {
     format!("{name} {listen}").bytes().fold(0, |seed, byte| foldmux_figures::mix(seed ^ byte as u64))
 }
 
-/// The configuration, or one plain line on what is wrong with it.
-pub fn parse(mut bytes: Vec<u8>) -> Result<Config, String> {
-    let document: Document =
-        simd_json::serde::from_slice(&mut bytes).map_err(|e| format!("configuration: {e}"))?;
-    let decoded = document.settings.decode().map_err(|e| format!("configuration: {e}"))?;
-    if document.limits.sockets < 64 || document.limits.memory_mb < 16 {
-        return Err("configuration: limits are under 64 sockets or 16 MB: too few to serve".to_string());
-    }
-    let seed = match document.seed.as_str() {
-        // Where none is told: proxies must not draw alike.
-        "" => unlike(&document.name, document.listen),
-        text => u64::from_str_radix(text, 16)
-            .map_err(|_| format!("configuration: seed {text:?} is not hexadecimal"))?,
-    };
-    Ok(Config {
-        name: document.name,
-        listen: document.listen,
-        seed,
-        journal: document.journal,
-        operator: document.operator,
-        known: document.known,
-        bounds: Bounds::new(&document.limits),
-        limits: [document.limits.sockets as u64, document.limits.memory_mb as u64],
-        decoded,
+fn known(document: &Section) -> Feed {
+    let Some(value) = document.get("known") else { return Feed::default() };
+    simd_json::serde::from_refowned_value(value).unwrap_or_else(|e| {
+        document.fault("known", e);
+        Feed::default()
     })
 }
--- a/edge/proxy/tests/common/mod.rs
+++ b/edge/proxy/tests/common/mod.rs
@@ -26,7 +26,7 @@
 "kinds":["box","parent","origin"],"classes":[{"name":"sheet","slo":20000000,"hardLimit":30000000,
 "idempotency":"free"},{"name":"record","slo":20000000,"hardLimit":30000000,"idempotency":"guarded",
 "group":"all","repeatWindow":20000000}],"limits":{"maxAttempts":4,"cancel":true,"retryAfter":true,
-"maxRetryAfter":100},"rules":{"answerSlack":8000,"stopSendingWithin":250000,"coldFrom":0.17,
+"maxRetryAfter":100,"dialTimeout":400000,"keepalive":15000000},"rules":{"answerSlack":8000,"stopSendingWithin":250000,"coldFrom":0.17,
 "rampTime":18000000,"fall":3000000,"fallMultiple":4.0},"domain":{"originKind":2,"midKind":1,"siblings":"any",
 "notesGiven":"none","clientKbPerS":5000.0,"direct":true,"hubOf":[0,0],"passOn":[false,true],
 "instancesByZone":[0,1],"parentFloor":0.1,"parentCold":21000000,"parentBreaksAt":2.0,"purgeSlack":1000000,
--- a/edge/proxy/tests/reports.rs
+++ b/edge/proxy/tests/reports.rs
@@ -132,10 +132,11 @@
         let mut said = String::new();
         ran.0.stderr.take().unwrap().read_to_string(&mut said).unwrap();
         assert!(!ran.0.wait().unwrap().success(), "{key}");
-        assert_eq!(said.trim_end().lines().count(), 1, "{key}: {said}");
-        assert!(said.starts_with("foldmux: "), "{key}: {said}");
-        let named = said.contains(key) || matches!(key, "probe" | "names");
-        assert!(named, "{key} is named: {said}");
+        // One line for each place where it is faulty: both classes lack `slo` then.
+        let places = if key == "slo" { 2 } else { 1 };
+        assert_eq!(said.trim_end().lines().count(), places, "{key}: {said}");
+        assert!(said.lines().all(|line| line.starts_with("foldmux: configuration")), "{key}: {said}");
+        assert!(said.lines().all(|line| line.contains(key)), "{key} is named: {said}");
     }
 }
 
--- a/rigs/demo/src/day.rs
+++ b/rigs/demo/src/day.rs
@@ -105,7 +105,7 @@
         r#"{{"name":"n0","listen":"127.0.0.1:0","seed":"7","limits":{{"memory_mb":128,"sockets":1024}},"journal":"{}","known":{},
 "settings":{{"index":0,"balancers":1,"locality":1,"dcs":["hub","edge","far"],"kinds":["box","parent","origin"],
 "classes":[{{"name":"formula-card","slo":{},"hardLimit":2000000,"importance":1.0,"lateValue":0.1,"idempotency":"free"}}],
-"limits":{{"maxAttempts":6,"cancel":true,"retryAfter":true,"maxRetryAfter":2000000}},
+"limits":{{"maxAttempts":6,"cancel":true,"retryAfter":true,"maxRetryAfter":2000000,"dialTimeout":400000,"keepalive":15000000}},
 "rules":{{"answerSlack":8000,"stopSendingWithin":250000,"coldFrom":0.17,"rampTime":6000000,"fall":3000000,"fallMultiple":4.0}},
 "domain":{{"originKind":2,"midKind":1,"siblings":"any","notesGiven":"none","clientKbPerS":5000.0,"direct":true,
 "hubOf":[0,0,0],"passOn":[false],"instancesByZone":[0,1,0],"parentFloor":0.1,"parentCold":6000000,
--- a/rigs/rig/fuzz/src/json.rs
+++ b/rigs/rig/fuzz/src/json.rs
@@ -2,7 +2,6 @@
 
 use crate::{spoil, spoils};
 use foldmux_proxy::journal::Feed;
-use foldmux_settings::Facts;
 use proptest::collection::vec;
 use proptest::prelude::*;
 
@@ -50,7 +49,9 @@
         return Ok(());
     }
     let used = foldmux_settings::parse(text);
-    let other = serde_json::from_str::<Facts>(text).map_err(|e| e.to_string()).and_then(Facts::decode);
+    let other = serde_json::from_str::<simd_json::OwnedValue>(text)
+        .map_err(|e| e.to_string())
+        .and_then(|value| foldmux_settings::read(&value));
     same(used.ok().map(|d| format!("{d:?}")), other.ok().map(|d| format!("{d:?}")))
 }
 
@@ -95,7 +96,7 @@
     (feed, spoils(2)).prop_map(|(text, spoils)| spoil(text.into_bytes(), &spoils)).boxed()
 }
 
-const SETTINGS: &str = r#"{"index":0,"balancers":1,"locality":1,"dcs":["hub","edge"],"kinds":["box","parent","origin"],"classes":[{"name":"sheet","slo":20000000,"hardLimit":30000000,"idempotency":"free"},{"name":"record","slo":N,"hardLimit":30000000,"idempotency":"guarded","group":"all","repeatWindow":N}],"limits":{"maxAttempts":4,"cancel":true,"retryAfter":true,"maxRetryAfter":N},"rules":{"answerSlack":8000,"stopSendingWithin":N,"coldFrom":0.17,"rampTime":N,"fall":3000000,"fallMultiple":N},"domain":{"originKind":2,"midKind":1,"siblings":"any","notesGiven":"none","clientKbPerS":N,"direct":true,"hubOf":[0,N],"passOn":[false,true],"instancesByZone":[0,N],"parentFloor":0.1,"parentCold":N,"parentBreaksAt":2.0,"purgeSlack":N,"purgeDone":6000000}}"#;
+const SETTINGS: &str = r#"{"index":0,"balancers":1,"locality":1,"dcs":["hub","edge"],"kinds":["box","parent","origin"],"classes":[{"name":"sheet","slo":20000000,"hardLimit":30000000,"idempotency":"free"},{"name":"record","slo":N,"hardLimit":30000000,"idempotency":"guarded","group":"all","repeatWindow":N}],"limits":{"maxAttempts":4,"cancel":true,"retryAfter":true,"maxRetryAfter":N,"dialTimeout":N,"keepalive":N},"rules":{"answerSlack":8000,"stopSendingWithin":N,"coldFrom":0.17,"rampTime":N,"fall":3000000,"fallMultiple":N},"domain":{"originKind":2,"midKind":1,"siblings":"any","notesGiven":"none","clientKbPerS":N,"direct":true,"hubOf":[0,N],"passOn":[false,true],"instancesByZone":[0,N],"parentFloor":0.1,"parentCold":N,"parentBreaksAt":2.0,"purgeSlack":N,"purgeDone":6000000}}"#;
 
 /// Settings with drawn numbers; some spoilt.
 pub fn settings() -> BoxedStrategy<Vec<u8>> {
--- a/rigs/rig/src/settings.rs
+++ b/rigs/rig/src/settings.rs
@@ -84,7 +84,7 @@
     format!(
         r#"{{"name":"{name}","listen":"{listen}","seed":"{seed:x}","limits":{{"memory_mb":128,"sockets":1024}},"journal":"{journal}","known":{known},
 "settings":{{"index":{process},"balancers":{all},"locality":{own},"dcs":["hub",{sites}],"kinds":["box","parent","origin"],
-"classes":[{classes}],"limits":{{"maxAttempts":8,"cancel":true,"retryAfter":true,"maxRetryAfter":300000}},
+"classes":[{classes}],"limits":{{"maxAttempts":8,"cancel":true,"retryAfter":true,"maxRetryAfter":300000,"dialTimeout":400000,"keepalive":15000000}},
 "rules":{{"answerSlack":8000,"stopSendingWithin":250000,"coldFrom":0.17,"rampTime":18000000,"fall":3000000,"fallMultiple":4.0}},
 "domain":{{"originKind":2,"midKind":1,"siblings":"any","notesGiven":"none","clientKbPerS":5000.0,"direct":true,
 "hubOf":[{zeros}],"passOn":[false,false,true],"instancesByZone":[{counts}],"parentFloor":0.067,"parentCold":21000000,
--- /dev/null
+++ b/shared/settings/src/classes.rs
@@ -0,0 +1,64 @@
+//! The classes of the settings. Some of what is told by class stands beside the list of classes, at the same place.
+
+use crate::section::Section;
+use foldmux::interface::{Class, Group, Repeat, Time};
+use simd_json::prelude::*;
+use simd_json::OwnedValue;
+
+/// What the domain tells by class.
+pub(crate) struct ByClass {
+    pub fresh: Vec<Time>,
+    pub grace: Vec<Time>,
+    pub pass_on: Vec<bool>,
+}
+
+/// The classes with their names.
+pub(crate) fn read(settings: &Section, by_class: &ByClass) -> Vec<(String, Class)> {
+    let listed = settings.sections("classes");
+    let empty = |value: &OwnedValue| value.as_array().is_some_and(Vec::is_empty);
+    match settings.get("classes") {
+        None if settings.is_there() => settings.fault("classes", "missing"),
+        Some(value) if empty(value) => settings.fault("classes", "no class"),
+        _ => {}
+    }
+    listed.iter().enumerate().map(|(place, class)| one(class, place, by_class)).collect()
+}
+
+fn one(class: &Section, place: usize, by_class: &ByClass) -> (String, Class) {
+    let rules = Class {
+        aim: class.time("slo"),
+        aim_stretch: class.optional_factor("aimStretch"),
+        deadline: class.time_above_0("hardLimit"),
+        worth: class.optional("importance").unwrap_or_default(),
+        late_worth: class.optional("lateValue").unwrap_or_default(),
+        repeat: repeat(class),
+        repeat_window: class.optional_time("repeatWindow"),
+        fresh: by_class.fresh.get(place).copied().unwrap_or_default(),
+        grace: by_class.grace.get(place).copied().unwrap_or_default(),
+        pass_on: by_class.pass_on.get(place).copied().unwrap_or_default(),
+    };
+    (class.optional("name").unwrap_or_default(), rules)
+}
+
+fn repeat(class: &Section) -> Repeat {
+    let group = match class.optional::<String>("group").unwrap_or_default().as_str() {
+        "zone" => Group::Zone,
+        "cell" => Group::Cell,
+        _ => Group::All,
+    };
+    let Some(effect) = class.optional::<String>("idempotency") else {
+        if class.is_there() && class.get("idempotency").is_none() {
+            class.fault("idempotency", "missing");
+        }
+        return Repeat::SingleShot;
+    };
+    match effect.as_str() {
+        "free" => Repeat::Safe,
+        "guarded" => Repeat::Keyed(group),
+        "single_shot" => Repeat::SingleShot,
+        other => {
+            class.fault("idempotency", format_args!("{other:?} is no effect (free, guarded, single_shot)"));
+            Repeat::SingleShot
+        }
+    }
+}
--- a/shared/settings/src/lib.rs
+++ b/shared/settings/src/lib.rs
@@ -1,42 +1,16 @@
-//! The operator's settings, as the simulator's first message and a proxy's configuration carry them: JSON,
-//! decoded once into the few values that are used. Unknown keys are skipped.
+//! The operator's settings, as the simulator's first message and a proxy's configuration carry them: JSON, decoded once
+//! into the few values that are used. Unknown keys are skipped; whatever can't be used is told, a line each.
 
-use facts::{ClassFacts, Domain, Limits, Rules};
+use classes::ByClass;
 use foldmux::interface::*;
-use reports::{Charges, Report};
-use serde::Deserialize;
-use tenants::Project;
+use section::{Faults, Section};
+use simd_json::OwnedValue;
 
-mod facts;
+pub mod bounds;
+mod classes;
 mod reports;
-mod tenants;
-
-/// The settings object as it is written; [`Facts::decode`] makes it what the program uses.
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Facts {
-    #[serde(default)]
-    dcs: Vec<String>,
-    #[serde(default)]
-    kinds: Vec<String>,
-    index: u32,
-    balancers: u32,
-    locality: usize,
-    classes: Vec<ClassFacts>,
-    limits: Limits,
-    rules: Rules,
-    domain: Domain,
-    #[serde(default)]
-    weights: String,
-    #[serde(default)]
-    membership_mode: String,
-    #[serde(default)]
-    projects: Vec<Project>,
-    #[serde(default)]
-    report: Report,
-    #[serde(default)]
-    charges: Charges,
-}
+pub mod section;
+pub mod value;
 
 /// What a host with sockets of its own needs beside the router's settings.
 #[derive(Clone, Debug)]
@@ -47,111 +21,138 @@
     pub kinds: Vec<String>,
     /// Tenants, and each one's share of the service.
     pub tenants: Vec<(String, f64)>,
+    /// How long a connection may take to come up (us); where it is not told, the least aim.
     pub dial_time_out: Time,
+    /// How long servers keep an idle connection (us); where it is not told, 0: none is used again, as nothing says that it
+    /// is still open.
     pub keep_alive: Time,
     pub reports: foldmux_reports::Setup,
 }
 
-/// The settings, or what is wrong with the text (serde's message names the key).
+/// The settings, or all that is wrong with the text, on one line.
 pub fn parse(text: &str) -> Result<Decoded, String> {
     let mut bytes = text.as_bytes().to_vec();
-    simd_json::serde::from_slice::<Facts>(&mut bytes).map_err(|e| format!("settings: {e}"))?.decode()
+    let value: OwnedValue = simd_json::serde::from_slice(&mut bytes).map_err(|e| format!("settings: {e}"))?;
+    read(&value)
 }
 
-impl Facts {
-    pub fn decode(self) -> Result<Decoded, String> {
-        let Facts { limits, rules, domain, dcs, kinds, report, charges, .. } = self;
-        if limits.max_attempts == 0 {
-            return Err("settings: limits.maxAttempts is not above 0".to_string());
-        }
-        if self.classes.is_empty() {
-            return Err("settings: no class".to_string());
-        }
-        let mut classes = Vec::new();
-        for (k, c) in self.classes.iter().enumerate() {
-            if c.hard_limit == 0 {
-                return Err(format!("settings: classes[{k}] has a deadline (hardLimit) not above 0"));
-            }
-            let group = match c.group.as_str() {
-                "zone" => Group::Zone,
-                "cell" => Group::Cell,
-                _ => Group::All,
-            };
-            let repeat = match c.idempotency.as_str() {
-                "free" => Repeat::Safe,
-                "guarded" => Repeat::Keyed(group),
-                "single_shot" => Repeat::SingleShot,
-                other => return Err(format!("settings: classes[{k}].idempotency is {other:?}")),
-            };
-            classes.push(Class {
-                aim: c.slo,
-                aim_stretch: c.aim_stretch,
-                deadline: c.hard_limit,
-                worth: c.importance,
-                late_worth: c.late_value,
-                repeat,
-                repeat_window: c.repeat_window,
-                fresh: domain.lifetime_by_class.get(k).copied().unwrap_or_default(),
-                grace: domain.grace_for.get(k).copied().unwrap_or_default(),
-                pass_on: domain.pass_on.get(k).copied().unwrap_or_default(),
-            });
-        }
-        let reports = report.setup(limits.probes, &charges, &classes, limits.dial_timeout);
-        let settings = Settings {
-            index: self.index,
-            routers: self.balancers,
-            zone: self.locality,
-            classes,
-            routers_by_zone: domain.instances_by_zone,
-            hub_of: domain.hub_of,
-            parent_kind: usize::try_from(domain.mid_kind).ok(),
-            origin_kind: domain.origin_kind,
-            siblings: match domain.siblings.as_str() {
-                "any" => Siblings::Any,
-                "location" => Siblings::OwnZone,
-                _ => Siblings::None,
-            },
-            notes: match domain.notes_given.as_str() {
-                "all" => Notes::All,
-                "hit" => Notes::HitOnly,
-                _ => Notes::None,
-            },
-            can_join: domain.can_join,
-            direct: domain.direct,
-            client_kb_per_s: domain.client_kb_per_s,
-            weights_told: self.weights == "nominal",
-            must_ask: self.membership_mode == "ask",
-            may_cancel: limits.cancel,
-            may_duplicate: limits.may_duplicate,
-            max_attempts: limits.max_attempts,
-            may_probe: limits.probes,
-            may_tell_peers: limits.peers,
-            retry_after: limits.retry_after.then_some(limits.max_retry_after),
-            answer_slack: rules.answer_slack,
-            drain_grace: rules.stop_sending_within,
-            cache_cold_from: rules.cold_from,
-            cache_cold_for: rules.ramp_time,
-            cache_fall_multiple: rules.fall_multiple,
-            fall_window: rules.fall,
-            parent_cold_from: domain.parent_floor,
-            parent_cold_for: domain.parent_cold,
-            parent_fall_multiple: domain.parent_breaks_at,
-            purge_slack: domain.purge_slack,
-            purge_done: domain.purge_done,
-            origin_fall_multiple: domain.root_fall_multiple,
-        };
-        Ok(Decoded {
-            settings,
-            reports,
-            classes: self.classes.into_iter().map(|c| c.name).collect(),
-            zones: dcs,
-            kinds,
-            tenants: self.projects.into_iter().map(|p| (p.name, p.share)).collect(),
-            dial_time_out: limits.dial_timeout,
-            keep_alive: limits.keepalive,
-        })
+/// The settings, or all that is wrong with the document, on one line.
+pub fn read(document: &OwnedValue) -> Result<Decoded, String> {
+    let faults = Faults::default();
+    let decoded = decode(&Section::new("settings", document, &faults));
+    match faults.into_lines() {
+        lines if lines.is_empty() => Ok(decoded),
+        lines => Err(lines.join("; ")),
+    }
+}
+
+/// The settings in an object. Where faults are noted, what comes of it is not to be used.
+pub fn decode(section: &Section) -> Decoded {
+    let (limits, rules, domain) =
+        (section.section("limits"), section.section("rules"), section.section("domain"));
+    let by_class = ByClass {
+        fresh: domain.times("lifetimeByClass"),
+        grace: domain.times("graceFor"),
+        pass_on: domain.optional("passOn").unwrap_or_default(),
+    };
+    let classes = classes::read(section, &by_class);
+    let dial_time_out = dial_time_out(&limits, &classes);
+    let reports =
+        reports::read(section, limits.optional("probes").unwrap_or_default(), &classes, dial_time_out);
+    let settings = settings(section, [&limits, &rules, &domain], &classes);
+    Decoded {
+        settings,
+        reports,
+        classes: classes.into_iter().map(|(name, _)| name).collect(),
+        zones: section.optional("dcs").unwrap_or_default(),
+        kinds: section.optional("kinds").unwrap_or_default(),
+        tenants: tenants(section),
+        dial_time_out,
+        keep_alive: limits.optional_time("keepalive"),
+    }
+}
+
+fn settings(
+    section: &Section,
+    [limits, rules, domain]: [&Section; 3],
+    classes: &[(String, Class)],
+) -> Settings {
+    let (word, flag) = (optional::<String>, optional::<bool>);
+    let max_retry_after = limits.optional_time("maxRetryAfter");
+    Settings {
+        index: section.required("index"),
+        routers: section.required("balancers"),
+        zone: section.required("locality"),
+        classes: classes.iter().map(|(_, class)| class.clone()).collect(),
+        routers_by_zone: domain.optional("instancesByZone").unwrap_or_default(),
+        hub_of: domain.zones("hubOf"),
+        parent_kind: usize::try_from(domain.required::<i64>("midKind")).ok(),
+        origin_kind: domain.required("originKind"),
+        siblings: match word(domain, "siblings").as_str() {
+            "any" => Siblings::Any,
+            "location" => Siblings::OwnZone,
+            _ => Siblings::None,
+        },
+        notes: match word(domain, "notesGiven").as_str() {
+            "all" => Notes::All,
+            "hit" => Notes::HitOnly,
+            _ => Notes::None,
+        },
+        can_join: flag(domain, "canJoin"),
+        direct: flag(domain, "direct"),
+        client_kb_per_s: optional(domain, "clientKbPerS"),
+        weights_told: word(section, "weights") == "nominal",
+        must_ask: word(section, "membershipMode") == "ask",
+        may_cancel: flag(limits, "cancel"),
+        may_duplicate: flag(limits, "mayDuplicate"),
+        max_attempts: attempts(limits),
+        may_probe: flag(limits, "probes"),
+        may_tell_peers: flag(limits, "peers"),
+        retry_after: flag(limits, "retryAfter").then_some(max_retry_after),
+        answer_slack: rules.time("answerSlack"),
+        drain_grace: rules.time("stopSendingWithin"),
+        cache_cold_from: rules.factor("coldFrom"),
+        cache_cold_for: rules.time("rampTime"),
+        cache_fall_multiple: rules.factor("fallMultiple"),
+        fall_window: rules.time("fall"),
+        parent_cold_from: domain.optional_factor("parentFloor"),
+        parent_cold_for: domain.optional_time("parentCold"),
+        parent_fall_multiple: domain.optional_factor("parentBreaksAt"),
+        purge_slack: domain.optional_time("purgeSlack"),
+        purge_done: domain.optional_time("purgeDone"),
+        origin_fall_multiple: domain.optional_factor("rootFallMultiple"),
+    }
+}
+
+/// A value that may be left out, and is 0, false or empty then.
+fn optional<T: value::Read + Default>(section: &Section, key: &str) -> T {
+    section.optional(key).unwrap_or_default()
+}
+
+/// A dial that takes longer than the least aim helps no class that is in a hurry; so much is known where nothing is told.
+fn dial_time_out(limits: &Section, classes: &[(String, Class)]) -> Time {
+    if limits.get("dialTimeout").is_some() {
+        return limits.time_above_0("dialTimeout");
     }
+    let least = classes.iter().map(|(_, class)| class.aim.min(class.deadline)).min();
+    least.unwrap_or_default().max(1_000)
+}
+
+/// Attempts of one request: more than can be numbered are as many as can be.
+fn attempts(limits: &Section) -> u32 {
+    let most: u32 = limits.required("maxAttempts");
+    limits.not_0("maxAttempts");
+    most.min(bounds::ATTEMPTS_MOST)
 }
 
-#[cfg(test)]
-mod tests;
+/// Tenants. Where no share is told, all have the same.
+fn tenants(section: &Section) -> Vec<(String, f64)> {
+    let one = |tenant: Section| {
+        let share = tenant.optional("share").unwrap_or(1.0);
+        if share < 0.0 {
+            tenant.fault("share", format_args!("{share} is under 0"));
+        }
+        (tenant.required("name"), share)
+    };
+    section.sections("projects").into_iter().map(one).collect()
+}
--- a/shared/settings/src/reports.rs
+++ b/shared/settings/src/reports.rs
@@ -1,40 +1,30 @@
 //! Reports and probes, as the settings name them.
 
+use crate::section::Section;
 use foldmux::interface::{Class, Time};
 use foldmux_reports::{Fields, Setup};
-use serde::Deserialize;
 
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub(crate) struct Report {
-    /// `answers`: in answers and in what probes find; `probe`: in that alone; `none`.
-    #[serde(default)]
-    how: String,
-    #[serde(default)]
-    names: Vec<String>,
-}
-
-#[derive(Default, Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub(crate) struct Charges {
-    /// Taken off for one probe a request.
-    #[serde(default)]
-    probe: f64,
-}
-
-impl Report {
-    /// A word that no deployment has yet counts as none. A probe may take as long as a dial.
-    pub fn setup(self, probes: bool, charges: &Charges, classes: &[Class], patience: Time) -> Setup {
-        let told = matches!(self.how.as_str(), "answers" | "probe");
-        Setup {
-            fields: Fields::new(self.names.iter().filter(|_| told)),
-            in_answers: self.how == "answers",
-            probes,
-            // Placing by crowding was measured and gains nothing (docs/design/deployments.md).
-            acted_on: false,
-            price: charges.probe,
-            patience,
-            least_aim: classes.iter().map(|class| class.aim).min().unwrap_or(0),
-        }
+/// A word that no deployment has yet counts as none. A probe may take as long as a dial (`dial_time_out`).
+pub(crate) fn read(
+    settings: &Section,
+    probes: bool,
+    classes: &[(String, Class)],
+    dial_time_out: Time,
+) -> Setup {
+    let report = settings.optional_section("report");
+    // `answers`: in answers and in what probes find; `probe`: in that alone; `none`.
+    let how: String = report.optional("how").unwrap_or_default();
+    let names: Vec<String> = report.optional("names").unwrap_or_default();
+    let told = matches!(how.as_str(), "answers" | "probe");
+    Setup {
+        fields: Fields::new(names.iter().filter(|_| told)),
+        in_answers: how == "answers",
+        probes,
+        // Placing by crowding was measured and gains nothing (docs/design/deployments.md).
+        acted_on: false,
+        // Taken off for one probe a request.
+        price: settings.optional_section("charges").optional("probe").unwrap_or_default(),
+        patience: dial_time_out,
+        least_aim: classes.iter().map(|(_, class)| class.aim).min().unwrap_or(0),
     }
 }
--- a/shared/settings/src/tests.rs
+++ b/shared/settings/tests/settings.rs
@@ -1,12 +1,12 @@
 //! What deployments say, and what of it is refused.
 
-use super::*;
+use foldmux_settings::parse;
 
 /// What both deployments say, no more.
 const LEAST: &str = r#"{"index":1,"balancers":4,"locality":2,
     "classes":[{"name":"page","slo":300000,"hardLimit":2500000,"idempotency":"free"},
                {"name":"claim","slo":600000,"hardLimit":3000000,"idempotency":"single_shot"}],
-    "limits":{"maxAttempts":6},
+    "limits":{"maxAttempts":6,"dialTimeout":400000},
     "rules":{"answerSlack":8000,"stopSendingWithin":2000000,"coldFrom":0.16,"rampTime":14000000,"fall":1500000,
              "fallMultiple":2.0},
     "domain":{"originKind":1,"midKind":-1,"lifetimeByClass":[12000000,0],"graceFor":[30000000,5000000],
@@ -92,7 +92,7 @@
             format!(r#""index":1,"charges":{price},"handshakePrice":{price},"overShareWorth":{price},"#);
         match parse(&LEAST.replace(r#""index":1,"#, &told)) {
             Ok(with) => assert_eq!(format!("{:?}", with.settings), plain, "{price}"),
-            Err(why) => assert!(why.starts_with("settings: ") && !why.contains('\n'), "{price}: {why}"),
+            Err(why) => assert!(why.starts_with("settings.charges") && !why.contains('\n'), "{price}: {why}"),
         }
     }
 }
--- a/tests/settings/main.rs
+++ b/tests/settings/main.rs
@@ -2,6 +2,7 @@
 #[path = "../common/mod.rs"]
 mod common;
 mod drawn;
+mod extreme;
 mod rules;
 
 use common::*;
