Take or refuse a reload as a whole, and keep the operator's tree over it

Read for: what of a former deployment's settings is left after SIGHUP. Three faults:

- Zones and kinds go by number: the list's names (edge/proxy/src/server.rs, `Names`) and the limits keep the numbers of the start, the module took those of the new file (edge/proxy/src/reload.rs).
A file with other `dcs`, `kinds` or `locality` was taken in part, and its numbers stood for other zones and kinds.
Such a file is now refused, a reason for each key.
- Which member is a parent or a neighbour was worked out at the next change of the list alone (`Router::retune` leaves `tiers` as they are): settings without parents still had misses filled by the former parent.
The desk now hears of an empty change of the list right after the settings.
- The settings' hubs took the place of those of the operator's tree, which was told again only when it was new.
It is told again at each reload, also where the operator's file can't be read by then.

The tests of wiring.rs moved to a file of their own.

--- a/edge/proxy/src/lib.rs
+++ b/edge/proxy/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Owns: the configuration ([`config`]), the journal service's client ([`journal`]) and how it waits ([`backoff`]),
 //! the journal as it is shared by site ([`relayed`]), the tree in service ([`wiring`]), covered requests ([`cover`]), the log
-//! ([`log`]), start ([`server`]) and end ([`leave`]), reload ([`reload`]), reports and probes ([`reports`]), the fleet in service ([`fleet`]), what `check-config` tells
+//! ([`log`]), start ([`server`]) and end ([`leave`]), reload ([`reload`]), what no reload changes ([`started`]), reports and probes ([`reports`]), the fleet in service ([`fleet`]), what `check-config` tells
 //! ([`check`]). May not: decide for a request, or read one.
 
 pub mod check;
@@ -18,6 +18,7 @@
 pub mod reload;
 pub mod reports;
 pub mod server;
+pub mod started;
 pub mod turns;
 pub mod wiring;
 
--- a/edge/proxy/src/reload.rs
+++ b/edge/proxy/src/reload.rs
@@ -4,6 +4,7 @@
 use crate::fleet::Running;
 use crate::journal::Service;
 use crate::limits;
+use crate::started::Started;
 use crate::wiring::Live;
 use foldmux::interface::{Class, Repeat};
 use foldmux_core::desk::Notice;
@@ -25,21 +26,24 @@
 }
 
 /// Reads the configuration again: takes its settings and classes, and goes by where it says that the journal
-/// service is; its listen address, limits and seed hold from the next start. Guards against a file that can't be
-/// used costing the settings in service or the service that there is. One that names no journal service is taken as at
-/// the start: the list stays as it is.
+/// service is; what holds from the next start is told. Guards against a file that can't be used costing the settings in
+/// service or the service that there is: what can fail comes before the first change. One that names no journal service
+/// is taken as at the start: the list stays as it is.
 pub fn reload(
     file: &Path,
     service: &Service,
-    tune: &mut Classes<Class>,
+    (started, tune): (&Started, &mut Classes<Class>),
     front: &Front,
 ) -> Result<String, String> {
-    let config = config::read(file)?;
+    let config = config::read(file).map_err(|unusable| unusable.on_one_line())?;
+    started.check(&config).map_err(|unusable| unusable.on_one_line())?;
     let mut settings = config.decoded.settings.clone();
     tune.take(rules(&config.decoded)).map_err(|refused| format!("configuration: {refused}"))?;
     settings.classes = tune.all().cloned().collect();
     // The module knows the new places before any client can name them.
     front.core.desk.tell(Notice::Retuned(Box::new(settings)));
+    // Which member is a parent, the origin or a neighbour follows from the settings: it is worked out anew.
+    front.core.desk.tell(Notice::Members { full: false, listed: Vec::new() });
     let taken = served(tune);
     taken.iter().for_each(|class| front.core.tally.know(&class.name));
     *front.classes.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(taken);
@@ -48,7 +52,11 @@
     let at = config.journal.map_or("no journal service: the list stays as it is".to_string(), |address| {
         format!("the journal service is at {address}")
     });
-    Ok(format!("classes {}; {at}", names.join(", ")))
+    let later = match started.later(&config) {
+        keys if keys.is_empty() => String::new(),
+        keys => format!("; from the next start: {}", keys.join(", ")),
+    };
+    Ok(format!("classes {}; {at}{later}", names.join(", ")))
 }
 
 pub fn rules(decoded: &foldmux_settings::Decoded) -> Vec<(String, Class)> {
@@ -74,8 +82,10 @@
     tune.named().map(one).collect()
 }
 
-/// Reads the operator's file again and takes its tree. Whatever else it says holds from the next start.
+/// Reads the operator's file again and takes its tree. Whatever else it says holds from the next start. The tree in
+/// service is told again first: the settings that were read again name other hubs.
 pub fn rewire(file: &Path, live: &mut Live) -> Result<String, String> {
+    live.tell_again()?;
     let operator = foldmux_operator::load(file).map_err(|faults| faults.join("; "))?;
     let hierarchy = operator.hierarchy.ok_or_else(|| format!("{}: no hierarchy", file.display()))?;
     live.take(&hierarchy)
@@ -96,7 +106,8 @@
     let told = || -> Result<Option<usize>, String> {
         let operator = foldmux_operator::load(file).map_err(|faults| faults.join("; "))?;
         let said = operator.fleet.ok_or_else(|| format!("{}: no fleet", file.display()))?;
-        Ok(fleet.reweigh(&said, &config::read(settings)?.decoded.tenants))
+        let read = config::read(settings).map_err(|unusable| unusable.on_one_line())?;
+        Ok(fleet.reweigh(&said, &read.decoded.tenants))
     };
     told().map(|count| count.map(|count| format!("{count} taken"))).transpose()
 }
--- a/edge/proxy/src/server.rs
+++ b/edge/proxy/src/server.rs
@@ -7,6 +7,7 @@
 use crate::leave::{leave, until_killed, LONGEST};
 use crate::line::{self, Hand, Sources};
 use crate::reload::{processed, rekey, relimit, reload, reweigh, rewire, routed, rules, served, tell};
+use crate::started::Started;
 use crate::wiring::{Live, Zones};
 use crate::{limits, reports};
 use foldmux::interface::{Repeat, Time};
@@ -41,6 +42,7 @@
 pub fn run(config: Config, file: &Path, operator: Option<(&Path, Operator)>) -> Result<(), String> {
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
     let bounds = config.bounds;
+    let started = Started::of(&config);
     let decoded = config.decoded;
     let (own_file, operator) = operator.map_or((None, Operator::default()), |(file, o)| (Some(file), o));
     let mut tune = Classes::new(rules(&decoded)).map_err(|refused| format!("configuration: {refused}"))?;
@@ -189,7 +191,7 @@
         std::process::exit(3);
     })?;
     for _ in signals.forever().take_while(|signal| *signal == SIGHUP) {
-        let reloaded = reload(file, &service, &mut tune, &retuned);
+        let reloaded = reload(file, &service, (&started, &mut tune), &retuned);
         let count = if reloaded.is_ok() { &sources.conf_loaded } else { &sources.conf_invalid };
         count.fetch_add(1, Ordering::Relaxed);
         tell("reload", reloaded);
--- a/edge/proxy/src/wiring.rs
+++ b/edge/proxy/src/wiring.rs
@@ -70,6 +70,13 @@
         Ok(Live { wiring, zones, clock, desk })
     }
 
+    /// Tells the module the tree in service once more: its settings were taken anew, and what they say of hubs is not what
+    /// the tree says.
+    pub fn tell_again(&self) -> Result<(), String> {
+        self.desk.tell(self.zones.notice(self.wiring.present())?);
+        Ok(())
+    }
+
     /// A new tree, or why it changes nothing.
     pub fn take(&mut self, hierarchy: &Hierarchy) -> Result<String, String> {
         let notice = self.zones.notice(&hierarchy.tree)?;
@@ -82,27 +89,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn tree(text: &str) -> Tree {
-        let head = "hierarchy(epoch = 1, domain = \"f.example\")\narchive(\"archive\")\n";
-        foldmux_operator::script::evaluate("t.star", format!("{head}{text}")).unwrap().hierarchy.unwrap().tree
-    }
-
-    #[test]
-    fn a_tree_is_told_as_zones_or_refused_with_a_reason() {
-        let names = ["south", "east", "porvoo", "kotka"].map(str::to_string).to_vec();
-        let zones = Zones { names, own: 2, hub_of: vec![0, 1, 0, 1] };
-        let hubs = "hub(\"south\", parents = [\"archive\"])\nhub(\"east\", parents = [\"archive\"])\n";
-        let sound = tree(&format!("{hubs}location(\"porvoo\", parents = [\"east\", \"south\"])"));
-        match zones.notice(&sound) {
-            Ok(Notice::Wired { hubs, hub_of }) => assert_eq!((hubs, hub_of), (vec![1, 0], vec![0, 1, 1, 1])),
-            _ => panic!("no notice"),
-        }
-        let without = zones.notice(&tree(hubs)).err().unwrap();
-        assert_eq!(without, "porvoo, this proxy's zone, is no location of the tree");
-        let unknown = "hub(\"west\", parents = [\"archive\"])\nlocation(\"porvoo\", parents = [\"west\"])";
-        assert_eq!(zones.notice(&tree(unknown)).err().unwrap(), "the hub west is no zone of the settings");
-    }
-}
+#[path = "wiring_tests.rs"]
+mod tests;
--- a/edge/proxy/tests/common/running.rs
+++ b/edge/proxy/tests/common/running.rs
@@ -4,7 +4,7 @@
 use crate::common;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Stdio};
+use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{channel, Receiver};
 use std::time::Duration;
 
@@ -54,6 +54,11 @@
     if let Some(listen) = listen {
         command.env("GW_LISTEN", listen.to_string());
     }
+    spawned(command)
+}
+
+/// Starts the program by this command; once it serves and its operator line does.
+pub fn spawned(mut command: Command) -> Result<Running, String> {
     let mut child = command.stderr(Stdio::piped()).spawn().expect("the program");
     let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
     let (mut serves, mut operator, mut said) = (None, None, String::new());
