Keep descriptors back for discovery, and give the operator line its share

Seen in a test with 128 descriptors: idle clients at their third, 40 requests open and idle callers of the operator line took 125 of 128, discovery was not found again while they held them, and requests ended with a refusal.

Cause: the operator line took 64 connections whatever the limit was (edge/proxy/src/line.rs, `PLACES`), and clients (1/3) and caches (37/64) left it and all else 9 of 100 descriptors (edge/proxy/src/config.rs, `Bounds::new`). Now the line has a sixteenth, 64 at most, and connections to caches give way to 16 descriptors that are kept back. At 1,024 nothing changes.

Ruled out: accepting without descriptors does not spin; with a limit eight times under what the configuration says the process took 2 ticks in a second (100 are a processor's whole time), and clients are taken again later.

Test: edge/proxy/tests/descriptors.rs, by the program under `ulimit -n`; 100 of 128 in use with the change. Without it `what_is_kept_back_remains_while_all_others_fill_the_descriptors_and_discovery_is_down` fails as above.

--- a/edge/proxy/src/config.rs
+++ b/edge/proxy/src/config.rs
@@ -1,6 +1,7 @@
 //! What an edge proxy is told: one JSON document, decoded once into the values that the program uses.
 
 use crate::journal::Feed;
+use crate::line;
 use foldmux_settings::section::{Faults, Section};
 use foldmux_settings::{decode, Decoded};
 use simd_json::OwnedValue;
@@ -13,6 +14,11 @@
 /// Greatest limits: beyond any machine's, and far from where a bound that follows from them leaves its type.
 const MOST: usize = 1 << 24;
 
+/// Descriptors that are neither clients', caches' nor the operator line's: the standard streams, signals, the listeners,
+/// the log, the journal service's connection and the one that it moves to, files being read, a connection that is accepted
+/// and has no place.
+const KEPT_BACK: usize = 16;
+
 /// The limits on the process, as the platform sets them.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -32,19 +38,26 @@
     pub buffers: usize,
     /// TCP and TLS connections of the DNS front.
     pub dns: usize,
+    /// Connections of the operator line.
+    pub operator: usize,
 }
 
 impl Bounds {
     pub fn new(limits: &Limits) -> Bounds {
         let sockets = limits.sockets;
+        let (clients, dns) = ((sockets / 3).max(1), (sockets / 16).max(1));
+        let operator = (sockets / 16).clamp(1, line::PLACES);
+        // Whoever fills the places of clients and caches leaves discovery and the operator line theirs.
+        let rest = sockets.saturating_sub(clients + operator + KEPT_BACK);
         // Buffers may take 7/10 of the memory; each request needs one, and writes one more.
         let buffers = (limits.memory_mb * 1024 * 1024 * 7 / 10 / foldmux_core::buffers::SIZE).max(8);
         Bounds {
-            clients: (sockets / 3).max(1),
+            clients,
             open: (sockets / 2).min(buffers * 15 / 16).max(1),
-            upstream: (sockets * 37 / 64).max(1),
+            upstream: (sockets * 37 / 64).min(rest).max(1),
             buffers,
-            dns: (sockets / 16).max(1),
+            dns,
+            operator,
         }
     }
 }
--- a/edge/proxy/src/line.rs
+++ b/edge/proxy/src/line.rs
@@ -1,6 +1,6 @@
 //! The operator line: a second address, one call a line, `done` or `error` at the start of each answer.
 //!
-//! Owns: its listener, its connections (at most `PLACES`, each a small thread), and the pop caches out by hand
+//! Owns: its listener, its connections (each a small thread, as many as the descriptors allow), and the pop caches out by hand
 //! as they are told to the desk ([`Hand`]). May not: wait for client work or for the desk. Every answer is made
 //! of figures that are read where they are counted, so that it is owed to nothing else; what is beyond its places
 //! is told so at once and closed.
@@ -21,7 +21,7 @@
 mod hand;
 mod kept;
 
-/// Connections of the operator line at once.
+/// Most connections of the operator line at once; fewer where descriptors are few.
 pub const PLACES: usize = 64;
 const STACK: usize = 64 * 1024;
 /// A connection without a whole call for this long is closed.
@@ -94,8 +94,8 @@
     }
 }
 
-/// Listens at `address` and answers there until the process ends.
-pub fn serve(address: SocketAddr, sources: Arc<Sources>) -> Result<SocketAddr, String> {
+/// Listens at `address` and answers there until the process ends, `places` connections at once.
+pub fn serve(address: SocketAddr, sources: Arc<Sources>, places: usize) -> Result<SocketAddr, String> {
     let listener = TcpListener::bind(address).map_err(|e| format!("operator line on {address}: {e}"))?;
     let on = listener.local_addr().map_err(|e| e.to_string())?;
     let open = Arc::new(AtomicUsize::new(0));
@@ -114,7 +114,7 @@
                 continue;
             }
         };
-        if open.fetch_add(1, Ordering::SeqCst) >= PLACES {
+        if open.fetch_add(1, Ordering::SeqCst) >= places {
             open.fetch_sub(1, Ordering::SeqCst);
             let _ = stream.set_write_timeout(Some(WRITE_FOR));
             let _ = (&stream).write_all(b"error busy: too many connections to the operator line\n");
--- a/edge/proxy/src/server.rs
+++ b/edge/proxy/src/server.rs
@@ -174,7 +174,7 @@
         conf_invalid: AtomicU64::new(0),
     });
     if let Some(address) = config.operator {
-        let on = line::serve(address, sources.clone())?;
+        let on = line::serve(address, sources.clone(), bounds.operator)?;
         tracing::info!("operator line on {on}");
     }
 
--- /dev/null
+++ b/edge/proxy/tests/descriptors.rs
@@ -0,0 +1,139 @@
+//! Idle clients, open requests and idle operators together ask for more descriptors than the process has, while discovery
+//! is down: what is kept back for discovery, caches and the operator line remains, and all goes on without a restart.
+
+use foldmux_standins::rpc::{Said, Terminal};
+use holding::{ask, Attempt, BODY};
+use running::{call, spawned, Running, PATIENCE};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+mod common;
+#[path = "common/holding.rs"]
+mod holding;
+#[path = "common/running.rs"]
+mod running;
+
+/// The process's limit on descriptors, also as its configuration says.
+const DESCRIPTORS: usize = 128;
+/// More connections than any part may have: idle clients, idle callers of the operator line.
+const MANY: usize = 150;
+/// Requests open at the caches at once, each on a connection of its own at both sides.
+const OPEN: u64 = 40;
+
+/// The program under the limit.
+fn start(config: &Path) -> Running {
+    let mut command = Command::new("sh");
+    let script = format!("ulimit -n {DESCRIPTORS} && exec \"$0\" serve");
+    command.args(["-c", &script, env!("CARGO_BIN_EXE_foldmux")]);
+    for variable in ["GW_LISTEN", "GW_NAME", "FOLDMUX_OPERATOR", "FOLDMUX_LOG", "TMPDIR"] {
+        command.env_remove(variable);
+    }
+    command.env("GW_CONFIG", config).env("GW_OPERATOR", "127.0.0.1:0");
+    spawned(command).expect("it serves")
+}
+
+fn descriptors(running: &Running) -> usize {
+    std::fs::read_dir(format!("/proc/{}/fd", running.child.id())).unwrap().count()
+}
+
+/// Processor time that the process has had, in the system's ticks.
+fn ticks(running: &Running) -> u64 {
+    let stat = std::fs::read_to_string(format!("/proc/{}/stat", running.child.id())).unwrap();
+    let fields: Vec<&str> = stat.rsplit_once(") ").unwrap().1.split(' ').collect();
+    fields[11].parse::<u64>().unwrap() + fields[12].parse::<u64>().unwrap()
+}
+
+fn dial(address: SocketAddr) -> Option<TcpStream> {
+    let stream = TcpStream::connect(address).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    Some(stream)
+}
+
+/// Reads one poll of discovery up to the end of its head.
+fn poll(stream: &mut TcpStream) -> String {
+    let (mut head, mut byte) = (Vec::new(), [0]);
+    while !head.ends_with(b"\r\n\r\n") {
+        stream.read_exact(&mut byte).expect("a poll");
+        head.push(byte[0]);
+    }
+    String::from_utf8(head).unwrap()
+}
+
+#[test]
+fn what_is_kept_back_remains_while_all_others_fill_the_descriptors_and_discovery_is_down() {
+    let [caches, journal] = [0; 2].map(|_| TcpListener::bind("127.0.0.1:0").unwrap());
+    let at = journal.local_addr().unwrap();
+    let text = common::config(caches.local_addr().unwrap(), at);
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("config.json");
+    std::fs::write(&file, text.replace("\"sockets\":1024", &format!("\"sockets\":{DESCRIPTORS}"))).unwrap();
+    let running = start(&file);
+    // Discovery was there once; then it goes, and nobody listens at its address.
+    let (mut polling, _) = journal.accept().unwrap();
+    assert!(poll(&mut polling).contains("tail=1"));
+    drop((polling, journal));
+    // Requests that their caches hold open.
+    let (mut attempts, mut asked) = (Vec::new(), Vec::new());
+    for object in 1..=OPEN {
+        asked.push(ask(running.serves, "sheet", object));
+        attempts.push(Attempt::next(&caches));
+    }
+    // Idle ones, at the front and at the operator line: far more than there are places for.
+    let idle: Vec<TcpStream> = (0..MANY).filter_map(|_| dial(running.serves)).collect();
+    let operators: Vec<TcpStream> = (0..MANY).filter_map(|_| dial(running.operator)).collect();
+    // One without a place is told so: the line still takes connections.
+    let mut refused = String::new();
+    operators.last().unwrap().read_to_string(&mut refused).unwrap();
+    assert!(refused.starts_with("error busy"), "{refused}");
+    let held = descriptors(&running);
+    println!("{held} descriptors of {DESCRIPTORS} in use");
+    assert!(held < DESCRIPTORS, "{held} in use: none is kept back");
+    // Discovery comes back where it was: it is found again, and what it says is taken.
+    let journal = TcpListener::bind(at).expect("the address of discovery");
+    let (mut polling, _) = journal.accept().unwrap();
+    polling.set_read_timeout(Some(PATIENCE)).unwrap();
+    assert!(poll(&mut polling).contains("tail=1"), "it goes on from the event that it had");
+    let events = r#"{"pos":2,"entries":[{"pos":2,"expire":{"set":17,"stamp":1764576000480}}]}"#;
+    write!(polling, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{events}", events.len()).unwrap();
+    assert!(poll(&mut polling).contains("tail=2"), "the event was taken");
+    // All that were open are served.
+    attempts.into_iter().for_each(Attempt::serve);
+    for one in asked {
+        assert_eq!(one.said(), Some(Said::Served(BODY.to_vec())));
+    }
+    drop(operators);
+    // A place of the line is free once the program has read that its callers went.
+    let mut answers = std::iter::repeat_with(|| call(running.operator, b"status\n")).take(1_000);
+    assert_eq!(answers.find(|answer| !answer.starts_with("error busy")).as_deref(), Some("done yes\n"));
+    drop(idle);
+    assert!(Terminal::connect(running.serves, PATIENCE).unwrap().well().unwrap());
+}
+
+/// Descriptors that run out all the same, here by a limit far under what the configuration says.
+#[test]
+fn a_listener_without_descriptors_takes_no_processor_time_and_takes_clients_again_later() {
+    let [caches, journal] = [0; 2].map(|_| TcpListener::bind("127.0.0.1:0").unwrap());
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("config.json");
+    // It believes in eight times as many descriptors as there are.
+    let text = common::config(caches.local_addr().unwrap(), journal.local_addr().unwrap());
+    std::fs::write(&file, text).unwrap();
+    let running = start(&file);
+    let idle: Vec<TcpStream> = (0..MANY).filter_map(|_| dial(running.serves)).collect();
+    let mut looks = std::iter::repeat_with(|| descriptors(&running)).take(1_000_000);
+    assert!(looks.any(|held| held >= DESCRIPTORS), "none is left");
+    // The program closes what never asked after 2.5 s: until then the listener finds no descriptor. A loop without a pause
+    // takes all the time that one processor has, 100 ticks a second; one with a pause next to none.
+    let (before, began) = (ticks(&running), Instant::now());
+    while began.elapsed() < Duration::from_secs(1) {
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let used = ticks(&running) - before;
+    println!("{used} ticks in a second without descriptors");
+    assert!(used < 50, "{used} ticks");
+    drop(idle);
+    assert!(Terminal::connect(running.serves, PATIENCE).unwrap().well().unwrap(), "it takes clients again");
+}
