--- a/tests/settings/rules.rs
+++ b/tests/settings/rules.rs
@@ -1,6 +1,7 @@
 //! A small plain model beside the router: what it saw, and the rules that every action has to keep.
 
 use crate::common::*;
+use crate::drawn::CLASSES;
 use foldmux::interface::*;
 use proptest::prelude::*;
 use std::collections::BTreeMap;
@@ -28,7 +29,7 @@
 
 pub fn steps() -> impl Strategy<Value = (u64, Step)> {
     let step = prop_oneof![
-        6 => (0usize..4, 1u64..60, 0.0..40_000.0f64).prop_map(|(c, o, s)| Step::Ask(c, o, s)),
+        6 => (0usize..CLASSES, 1u64..60, 0.0..40_000.0f64).prop_map(|(c, o, s)| Step::Ask(c, o, s)),
         8 => (0usize..64, 0u8..9).prop_map(|(at, how)| Step::End(at, how)),
         2 => (0usize..16, 0u8..4).prop_map(|(at, how)| Step::Change(at, how)),
         1 => (prop::option::of(1u64..60), 0u64..400).prop_map(|(o, ago)| Step::Purge(o, ago)),
