--- a/edge/proxy/tests/retuned_classes.rs
+++ b/edge/proxy/tests/retuned_classes.rs
@@ -122,7 +122,7 @@
     let swapped = r#""classes":[{"name":"record","slo":9000000,"hardLimit":9000000,"idempotency":"single_shot"},
         {"name":"more","slo":9000000,"hardLimit":9000000,"idempotency":"free"},
         {"name":"sheet","slo":9000000,"hardLimit":9000000,"idempotency":"single_shot"}"#;
-    place.take(&place.good[classes_from..classes_to].to_string(), swapped);
+    place.take(&place.good[classes_from..classes_to], swapped);
     // Both may be repeated as they were: a free one anywhere, a keyed one within its group and window.
     for (attempt, asked, class) in [(first, sheet, "sheet"), (second, record, "record")] {
         attempt.cut();
