--- a/edge/proxy/src/server.rs
+++ b/edge/proxy/src/server.rs
@@ -7,6 +7,7 @@
 use crate::leave::{leave, until_killed, LONGEST};
 use crate::line::{self, Hand, Sources};
 use crate::reload::{processed, rekey, relimit, reload, reweigh, rewire, routed, rules, served, tell};
+use crate::started::Started;
 use crate::wiring::{Live, Zones};
 use crate::{limits, reports};
 use foldmux::interface::{Repeat, Time};
@@ -54,6 +55,7 @@
 pub fn run(config: Config, file: &Path, operator: Option<(&Path, Operator)>) -> Result<(), String> {
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
     let bounds = config.bounds;
+    let started = Started::of(&config);
     let decoded = config.decoded;
     let (own_file, operator) = operator.map_or((None, Operator::default()), |(file, o)| (Some(file), o));
     let mut tune = Classes::new(rules(&decoded)).map_err(|refused| format!("configuration: {refused}"))?;
@@ -185,7 +187,7 @@
         conf_invalid: AtomicU64::new(0),
     });
     if let Some(address) = config.operator {
-        let on = line::serve(address, sources.clone())?;
+        let on = line::serve(address, sources.clone(), bounds.operator)?;
         tracing::info!("operator line on {on}");
     }
 
@@ -196,7 +198,7 @@
         told.tally.line().iter().for_each(|line| tracing::info!("{line}; {} open", told.open()));
     })?;
     for _ in signals.forever().take_while(|signal| *signal == SIGHUP) {
-        let reloaded = reload(file, &service, &mut tune, &retuned);
+        let reloaded = reload(file, &service, (&started, &mut tune), &retuned);
         let count = if reloaded.is_ok() { &sources.conf_loaded } else { &sources.conf_invalid };
         count.fetch_add(1, Ordering::Relaxed);
         tell("reload", reloaded);
