--- a/edge/proxy/src/journal/answer.rs
+++ b/edge/proxy/src/journal/answer.rs
@@ -68,7 +68,8 @@
         let wait = max_wait.as_millis();
         let request = format!("GET /journal?tail={tail}&max_wait={wait} HTTP/1.1\r\nHost: {address}\r\n\r\n");
         let deadline = Instant::now() + *max_wait + PATIENCE;
-        write_all(stream, &[request.as_bytes()], deadline).map_err(Fault::Broken)?;
+        let written = write_all(stream, &[request.as_bytes()], deadline);
+        written.map_err(|unwritten| Fault::Broken(unwritten.cause))?;
         let response = read_response(stream, buffer, deadline).map_err(Fault::Broken)?;
         if response.status != 200 {
             return Err(Fault::Status(response.status));
