Wake a request that waits for a place when its client leaves; report what a panic ended

- `admit` (edge/core/src/request.rs, now admission.rs) waited for a place among its limits without a look at its slot: a client that left kept its place in the queue, its thread and its buffer until its time was over, and others were refused for it.
It hangs its wait in the slot now, where a leave finds it.
With the line out, the test of the queue waits 30 s for the reply's end and fails.
- A client that left in the pause before an attempt, or before its turn, was given a final answer, and counted as one that was refused.
Nothing is owed to it.
Without the lines the two tests hear `Refused`, wanted `Nothing`.
- A panic in an attempt gave slot, buffer, place and the desk's entry back, but the module never heard of the attempt's end and counted it as out at its cache for ever.
An order is now ended by its drop where nothing else did.
With the drop out, the tally has no outcome, wanted `cancelled 1`.

Right already: a client that leaves between two attempts; an answer in the moment of a leave; a pause that would outlast the request. A first form of the pause's test never came to its pause (the limits' own deadline was shorter, so it was refused); it failed as such and was mended.

--- a/edge/core/src/lib.rs
+++ b/edge/core/src/lib.rs
@@ -10,6 +10,7 @@
 //! [`Inquiry`] and a [`Reply`]; whoever makes attempts implements [`attempt::Tries`]. It depends on the module and the
 //! pure crates of limits and reports alone.
 
+mod admission;
 pub mod attempt;
 pub mod buffers;
 pub mod clock;
--- a/edge/core/src/request.rs
+++ b/edge/core/src/request.rs
@@ -1,27 +1,25 @@
 //! The life of one request, from its ask to its one answer, in one function on a thread of its own.
 
+use crate::admission::{admit, allow, Turned};
 use crate::attempt::{Attempt, Got};
 use crate::clock::span;
 use crate::core::Core;
 use crate::cover::{self, Hold, Intended};
 pub use crate::inquiry::Inquiry;
 use crate::inquiry::{ask, left, Answer, Reply, Served};
-use crate::limits::{Allowed, Entered, Held};
-use crate::orders::{Notice, Order, ORDERS};
+use crate::limits::Held;
+use crate::orders::{Notice, Order, Target, ORDERS};
 pub use crate::slot::Slot;
 use crate::tally::End;
 use crate::turn;
 use crossbeam_channel::bounded;
 use foldmux::interface::*;
 use std::sync::Arc;
-use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// Beyond the client's deadline a request without orders answers by itself (us): the module's own look at
 /// what is overdue comes first.
 const UNORDERED: Time = 30_000;
-/// How long a request that pauses before an attempt may miss that its client left.
-const PAUSE_PART: Duration = Duration::from_millis(5);
 
 /// The end of a request at the desk, however its function ends.
 struct Ended<'a>(&'a Core, RequestId);
@@ -32,6 +30,40 @@
     }
 }
 
+/// An attempt that the module counts as out until it hears of its end: whatever becomes of the request's function, it
+/// does. Guards against a server that seems to work for ever on what a panic ended.
+struct Out<'a> {
+    core: &'a Core,
+    id: RequestId,
+    target: Target,
+    /// How it ended, where its drop is the first to tell.
+    unless_told: Option<Outcome>,
+}
+
+impl<'a> Out<'a> {
+    fn new(core: &'a Core, id: RequestId, target: Target) -> Out<'a> {
+        Out { core, id, target, unless_told: Some(Outcome::NeverSent) }
+    }
+
+    /// From here on it may have run.
+    fn begins(&mut self) {
+        self.unless_told = Some(Outcome::Cancelled);
+    }
+
+    fn ended(mut self, outcome: Outcome, last: bool) {
+        self.unless_told = None;
+        self.core.report(self.id, &self.target, outcome, last);
+    }
+}
+
+impl Drop for Out<'_> {
+    fn drop(&mut self) {
+        if let Some(outcome) = self.unless_told {
+            self.core.report(self.id, &self.target, outcome, true);
+        }
+    }
+}
+
 /// What became of a request.
 pub(crate) enum Came {
     Answer(End, Answer),
@@ -57,9 +89,10 @@
     let shed = |wait| Came::Answer(End::Shed, Answer::Shed { wait });
     let Some(mut bytes) = core.buffers.lease() else { return shed(core.shed_wait) };
     let mut deadline = inquiry.arrived + span(inquiry.budget);
-    let mut limits = match admit(core, inquiry, deadline) {
+    let mut limits = match admit(core, inquiry, slot, deadline) {
         Ok(limits) => limits,
-        Err(wait) => return shed(wait),
+        Err(Turned::Away { wait }) => return shed(wait),
+        Err(Turned::Left) => return Came::Over,
     };
     limits.iter().for_each(|held| deadline = deadline.min(held.deadline(inquiry.arrived)));
     let (sender, orders) = bounded(ORDERS);
@@ -71,33 +104,41 @@
     let (end, answer) = loop {
         match orders.recv_deadline(deadline + span(UNORDERED)) {
             Ok(Order::Fetch(mut fetch, target)) => {
+                let mut out = Out::new(core, slot.id, target);
                 let allowed = limits.as_mut().is_none_or(|held| allow(held, slot, deadline));
                 let fill = limits.as_ref().map(|held| held.fill(&fetch));
                 if !allowed || matches!(fill, Some(None)) {
                     // The limits end it here: the module hears that nothing was sent, and no more is asked of it.
-                    core.report(slot.id, &target, Outcome::NeverSent, true);
+                    out.ended(Outcome::NeverSent, true);
+                    if slot.left() {
+                        return Came::Over;
+                    }
                     break limited(core, limits.as_ref());
                 }
                 let (place, deadline) = match turn::take(core, inquiry, &fetch, &target, slot, deadline) {
                     Ok(turn) => turn,
                     Err(wait) => {
-                        core.report(slot.id, &target, Outcome::NeverSent, true);
+                        out.ended(Outcome::NeverSent, true);
+                        if slot.left() {
+                            return Came::Over;
+                        }
                         break turned_away(limits.as_ref(), ran, wait);
                     }
                 };
                 match hold.map_or(Intended::Yes, |hold| intend(core, hold, &fetch)) {
                     Intended::Yes => {}
                     Intended::No => {
-                        core.report(slot.id, &target, Outcome::NeverSent, false);
+                        out.ended(Outcome::NeverSent, false);
                         continue;
                     }
                     Intended::Lost => {
-                        core.report(slot.id, &target, Outcome::NeverSent, true);
+                        out.ended(Outcome::NeverSent, true);
                         return Came::Lost;
                     }
                 }
                 limits.iter().for_each(|held| held.narrow(&mut fetch));
                 let began = Instant::now();
+                out.begins();
                 let attempt =
                     Attempt { inquiry, slot, fetch: &fetch, target: &target, deadline, guard: hold };
                 let (outcome, got) = core.upstream.attempt(&attempt, &mut bytes);
@@ -107,7 +148,7 @@
                 ran |= !outcome.never_ran();
                 limits.iter_mut().for_each(|held| held.heard(began, got.is_some(), outcome.never_ran()));
                 let last = got.is_some() || slot.left();
-                core.report(slot.id, &target, outcome, last);
+                out.ended(outcome, last);
                 match got {
                     Some(Got::Body(body)) => break (End::Served, Answer::Served(Served { bytes, body })),
                     Some(Got::Same) => break (End::Same, Answer::Same),
@@ -130,47 +171,6 @@
     core.members.get(fetch.cache).map_or(Intended::No, |listed| hold.intend(&listed.member))
 }
 
-/// A place among those of the request's limits, where there are any; else how long to stay away (us). Waits for one as
-/// long as the limits say.
-fn admit(core: &Core, inquiry: &Inquiry, deadline: Instant) -> Result<Option<Held>, Time> {
-    let Some(limiter) = core.limits.get() else { return Ok(None) };
-    let (tell, told) = bounded(1);
-    let tell = Box::new(move |has: bool| {
-        let _ = tell.try_send(has);
-    });
-    match limiter.enter(*inquiry.class, &inquiry.caller, inquiry.front, tell) {
-        Entered::Free => Ok(None),
-        Entered::In(held) => Ok(Some(held)),
-        Entered::Refused { wait } => Err(wait),
-        Entered::Waits(mut held, age) => match told.recv_deadline(deadline.min(Instant::now() + age)) {
-            Ok(true) => {
-                held.admitted();
-                Ok(Some(held))
-            }
-            Ok(false) | Err(_) => Err(held.advice(Time::MAX)),
-        },
-    }
-}
-
-/// Whether the attempt that the module wants is made, after the pause that the limits want before it.
-fn allow(held: &mut Held, slot: &Slot, deadline: Instant) -> bool {
-    match held.attempt() {
-        Allowed::Now => true,
-        Allowed::No => false,
-        Allowed::After(pause) => {
-            let end = Instant::now() + pause;
-            if end >= deadline {
-                return false;
-            }
-            // In parts, so that a client that leaves meanwhile is heard of.
-            while !slot.left() && Instant::now() < end {
-                thread::sleep(PAUSE_PART.min(end.saturating_duration_since(Instant::now())));
-            }
-            !slot.left() && held.in_window()
-        }
-    }
-}
-
 /// The final answer where the limits allow no more: refused where trying again is harmless, else failed.
 fn limited(core: &Core, limits: Option<&Held>) -> (End, Answer) {
     match limits.is_none_or(Held::harmless) {
