--- a/edge/proxy/tests/watch_silence.rs
+++ b/edge/proxy/tests/watch_silence.rs
@@ -148,3 +148,25 @@
         assert_eq!(call.tail, pos);
     }
 }
+
+/// Calls that a program may make while another waits for one answer that never comes: with the shortest pause (10 ms) after
+/// each, for the longest such wait (1.7 s and one pause).
+const MOST_CALLS: usize = 185;
+
+#[test]
+fn a_service_that_does_not_hold_its_calls_is_asked_with_pauses() {
+    let (silent, hasty) = (Service::start(), Service::start());
+    let _waits = program(&silent);
+    let held = silent.call();
+    let _asks = program(&hasty);
+    let again = std::thread::spawn(move || is_asked_again(&silent, held));
+    let (mut call, mut calls) = (hasty.call(), 0);
+    while !again.is_finished() && calls <= MOST_CALLS {
+        call = call.answer(1, &[]);
+        calls += 1;
+    }
+    assert!(calls <= MOST_CALLS, "asked in a loop");
+    // The first event that follows is taken from the same connection.
+    assert_eq!(call.answer(2, &[purge(2, 1)]).tail, 2);
+    again.join().unwrap();
+}
