Return the member whose start was allowed, not what a later list made of it

`Members::allowed` checked a start under one lock and read the member under another: a list taken in between made it return a later start, at its address, to the external processor's loans (core/src/lent.rs) and the probes. One lock now holds both. The comment of `allows` stood over `census`. tests/members.rs changes the list under a reader; without the change it fails with "left: Start { boot: 1, address: 127.0.0.1:7001 } right: Start { boot: 0, address: 127.0.0.1:7000 }".

--- a/edge/core/src/members.rs
+++ b/edge/core/src/members.rs
@@ -42,8 +42,6 @@
         members.get(&cache_id(name)).filter(|m| *m.name == *name).cloned()
     }
 
-    /// Whether new work may still go to this start of the member, or name it as a source.
-    /// Guards against a drain, an end or a restart that was told of while an attempt was dialling.
     /// How many are listed, and how many of them are not ready or are `out` by name.
     pub fn census(&self, out: impl Fn(&str) -> bool) -> (usize, usize) {
         let members = self.by_id.read().unwrap_or_else(PoisonError::into_inner);
@@ -51,14 +49,19 @@
         (members.len(), avoided)
     }
 
+    /// Whether new work may still go to this start of the member, or name it as a source.
+    /// Guards against a drain, an end or a restart that was told of while an attempt was dialling.
     pub fn allows(&self, cache: CacheId, start: Start) -> bool {
         let members = self.by_id.read().unwrap_or_else(PoisonError::into_inner);
         members.get(&cache).is_some_and(|m| m.member.state == State::Ready && m.start() == start)
     }
 
-    /// The member, if new work may still go to the start that was meant.
+    /// The member, if new work may still go to the start that was meant; read in one step, so that what is returned is what
+    /// was allowed.
     pub fn allowed(&self, cache: CacheId, start: Option<Start>) -> Option<Listed> {
-        start.filter(|start| self.allows(cache, *start)).and_then(|_| self.get(cache))
+        let members = self.by_id.read().unwrap_or_else(PoisonError::into_inner);
+        let member = members.get(&cache).filter(|m| m.member.state == State::Ready)?;
+        (Some(member.start()) == start).then(|| member.clone())
     }
 
     /// The lines as they are to be taken, where an address was taken over: of two ids at one address the one that started
