Hear each client's close, and end connections without a reset

(1) While the process left, any end of a client's connection was taken for its own close (msgpack/mod.rs, `Unread::Over if leave_by`): the requests of a client that had closed went on, with further attempts. (2) After a message that could not be read, a number that did not count up, or half a message too late, the reader returned: nobody heard the close or a `forget` any more. (3) A connection was ended by shutting both ways and closing, also over unread bytes: a reset. (4) Answers waited for a lock on writing without a time: those of a client that reads nothing were held as long as its longest.

The end of a connection is decided under the places' lock, only where no message has begun, no answer is owed and (by a peek) nothing has arrived; a message counts as begun before its bytes are read, so no end falls between the two. Then our side stops writing, what comes is thrown away, and the connection closes with its peer, after LINGER or after a bounded number of bytes. One that lingers keeps its place and makes way first; a sixteenth of the places is kept free ahead for that. A connection without a place lingers as well, a few at a time, without a thread. So each end that the reader hears is the client's, unless ours came before. After a number that does not count up, messages are read on for `forget` alone. An answer waits for its turn to write no longer than its own time. TCP_NODELAY is set on each accepted socket. msgpack/mod.rs is split.

Ruled out: waking readers by shutting the reading side, after which a socket can't be waited on for its peer's close.

Right already, and kept: the acceptor without descriptors, calls sent at once.

--- a/edge/fronts/src/dns/server.rs
+++ b/edge/fronts/src/dns/server.rs
@@ -170,13 +170,13 @@
         // No query that is served here is as long: what follows is not read.
         let Some(message) = bytes.get_mut(..length) else { return Ok(()) };
         stream.read_exact(message)?;
-        if !place.busy() {
+        if !place.begin() {
             return Ok(());
         }
         let Some(answer) = dns.respond(message, false) else { return Ok(()) };
         let length = u16::try_from(answer.len()).map_err(io::Error::other)?;
         stream.write_all(&[&length.to_be_bytes()[..], &answer].concat())?;
         stream.flush()?;
-        place.idle();
+        place.done();
     }
 }
--- a/edge/fronts/src/listen.rs
+++ b/edge/fronts/src/listen.rs
@@ -1,15 +1,22 @@
 //! Threads that take connections, each to a thread of its own, within the places that there are.
 
+use crate::closing::{drain, stop_writing, LINGER};
 use crate::places::{Place, Places};
+use std::collections::VecDeque;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
+
+#[cfg(test)]
+mod tests;
 
 /// Longest that an acceptor sleeps in `accept` before it looks whether it is to close.
 pub const LOOK_EVERY: Duration = Duration::from_millis(100);
+/// Refused connections that linger at once, without a thread; beyond, the one that has for longest is closed.
+const MOST_REFUSED: usize = 8;
 /// Connections that the kernel holds for a listener before they are taken.
 const BACKLOG: i32 = 1024;
 
@@ -39,7 +46,7 @@
     Ok(socket.into())
 }
 
-/// Takes connections, each to a thread of its own, while there are places; those beyond are closed at once.
+/// Takes connections, each to a thread of its own, while there are places; those beyond are refused.
 pub fn accept(
     listener: &TcpListener,
     places: &Arc<Places>,
@@ -59,7 +66,14 @@
     closing: &AtomicBool,
 ) {
     let mut draining = false;
+    let mut refused = Refused::default();
+    let mut swept = Instant::now();
     loop {
+        if swept.elapsed() >= LOOK_EVERY {
+            swept = Instant::now();
+            places.sweep();
+            refused.close_old();
+        }
         if !draining && closing.load(Ordering::SeqCst) {
             draining = true;
             if let Err(e) = listener.set_nonblocking(true) {
@@ -70,7 +84,15 @@
         match listener.accept() {
             Ok((stream, _)) => {
                 let _ = stream.set_nonblocking(false);
-                let Some(place) = places.take(stream) else { continue };
+                // Guards against small answers that the system holds back until the peer acknowledges.
+                let _ = stream.set_nodelay(true);
+                let place = match places.take(stream) {
+                    Ok(place) => place,
+                    Err(stream) => {
+                        refused.push(stream);
+                        continue;
+                    }
+                };
                 let serve = serve.clone();
                 let spawned = named("connection", stack, move || serve(place));
                 spawned.err().iter().for_each(|e| tracing::warn!("{e}"));
@@ -82,6 +104,38 @@
     }
 }
 
+/// Connections without a place: our side has ended, and the peer has a while to see that before they are closed.
+#[derive(Default)]
+struct Refused(VecDeque<(Instant, TcpStream)>);
+
+impl Refused {
+    fn push(&mut self, stream: TcpStream) {
+        stop_writing(&stream);
+        self.0.push_back((Instant::now(), stream));
+        if self.0.len() > MOST_REFUSED {
+            self.close_oldest();
+        }
+    }
+
+    fn close_old(&mut self) {
+        while self.0.front().is_some_and(|(since, _)| since.elapsed() >= LINGER) {
+            self.close_oldest();
+        }
+    }
+
+    fn close_oldest(&mut self) {
+        self.0.pop_front().iter().for_each(|(_, stream)| drain(stream));
+    }
+}
+
+impl Drop for Refused {
+    fn drop(&mut self) {
+        while !self.0.is_empty() {
+            self.close_oldest();
+        }
+    }
+}
+
 /// Nobody came within the listener's timeout, or nobody is queued.
 fn is_quiet(error: &io::Error) -> bool {
     matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut)
@@ -95,37 +149,3 @@
         _ => Duration::from_millis(20),
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn accept_errors_neither_spin_nor_end_the_program() {
-        for code in [23, 24, 105, 12] {
-            assert!(!pause(&io::Error::from_raw_os_error(code)).is_zero(), "error {code}");
-        }
-        assert!(pause(&io::Error::from(io::ErrorKind::ConnectionAborted)).is_zero());
-    }
-
-    #[test]
-    fn two_listeners_share_one_address_and_the_one_that_closes_leaves_none_of_its_queue_unread() {
-        let first = shared("127.0.0.1:0".parse().unwrap()).unwrap();
-        let address = first.local_addr().unwrap();
-        let second = shared(address).expect("a second process may listen beside the first");
-        drop(second);
-        // Connections queued at the first before it is told to close are all taken, then it returns.
-        let dialled: Vec<_> = (0..8).map(|_| std::net::TcpStream::connect(address).unwrap()).collect();
-        let places = Places::new(64);
-        let (taken, told) = (Arc::new(std::sync::Mutex::new(0)), Arc::new(AtomicBool::new(true)));
-        let counted = taken.clone();
-        let serve: Arc<dyn Fn(Place) + Send + Sync> = Arc::new(move |_place| *counted.lock().unwrap() += 1);
-        accept_until(&first, &places, READER_STACK, serve, &told);
-        drop(first);
-        let deadline = std::time::Instant::now() + Duration::from_secs(10);
-        while *taken.lock().unwrap() < dialled.len() && std::time::Instant::now() < deadline {
-            thread::yield_now();
-        }
-        assert_eq!(*taken.lock().unwrap(), dialled.len());
-    }
-}
--- /dev/null
+++ b/edge/fronts/src/msgpack/connection.rs
@@ -0,0 +1,139 @@
+//! One client's connection: the calls that are open on it, and whose turn it is to write.
+
+use crate::closing::{cut, discard, Discard};
+use crate::places::Place;
+use foldmux_core::request::Slot;
+use std::collections::HashMap;
+use std::io::{ErrorKind, Write};
+use std::net::TcpStream;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+/// Longest that a write waits where its time is over already: what the socket takes at once still goes.
+const LAST_WRITE: Duration = Duration::from_millis(1);
+
+pub(super) struct Connection {
+    pub place: Place,
+    /// The calls that are open, by their numbers.
+    calls: Mutex<HashMap<u32, Arc<Slot>>>,
+    /// Somebody writes a message.
+    writing: Mutex<bool>,
+    written: Condvar,
+    /// A message could not be written whole: the client can read nothing more.
+    broken: AtomicBool,
+}
+
+/// Until when a message may wait for its turn, and take to be written.
+#[derive(Clone, Copy)]
+pub(super) enum Patience {
+    /// An answer: past this moment nobody waits for it.
+    Until(Instant),
+    /// A word of the reader's own: it waits for those who write, then has so long.
+    Behind(Duration),
+}
+
+impl Connection {
+    pub fn new(place: Place) -> Connection {
+        Connection {
+            place,
+            calls: Mutex::default(),
+            writing: Mutex::default(),
+            written: Condvar::new(),
+            broken: AtomicBool::new(false),
+        }
+    }
+
+    pub fn stream(&self) -> &TcpStream {
+        &self.place.stream
+    }
+
+    fn calls(&self) -> MutexGuard<'_, HashMap<u32, Arc<Slot>>> {
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a call; false where `most` are open. Called while its message counts as open on the connection.
+    pub fn open(&self, id: u32, slot: &Arc<Slot>, most: usize) -> bool {
+        let mut calls = self.calls();
+        if calls.len() >= most {
+            return false;
+        }
+        calls.insert(id, slot.clone());
+        self.place.owe();
+        true
+    }
+
+    /// Whoever gets the slot out owes the call's end: its answer, or word that the client left.
+    pub fn close(&self, id: u32) -> Option<Arc<Slot>> {
+        self.calls().remove(&id)
+    }
+
+    pub fn close_all(&self) -> Vec<Arc<Slot>> {
+        self.calls().drain().map(|(_, slot)| slot).collect()
+    }
+
+    /// Whether nothing can be told to the client any more.
+    pub fn is_broken(&self) -> bool {
+        self.broken.load(Ordering::SeqCst)
+    }
+
+    /// Takes no more requests. What is owed is answered, while only the client's close is listened for; then the
+    /// connection ends, and this returns once the client has closed too or has had the time to.
+    pub fn end_when_answered(&self) {
+        self.place.end_when_idle();
+        discard(self.stream(), || self.place.ended_for().map_or(Discard::Owed, Discard::Ended));
+    }
+
+    /// Ends the connection both ways, at once.
+    pub fn cut(&self) {
+        self.broken.store(true, Ordering::SeqCst);
+        cut(self.stream());
+    }
+
+    /// Writes one whole message. A client that does not take it in time loses its connection: the rest of a cut
+    /// message would be read as something else. One whose turn does not come in time is left out.
+    pub fn write(&self, message: &[u8], patience: Patience) {
+        let Some(_turn) = self.turn(patience) else { return };
+        let until = match patience {
+            Patience::Until(until) => until,
+            Patience::Behind(time) => Instant::now() + time,
+        };
+        let mut left = message;
+        while !left.is_empty() && !self.is_broken() {
+            let time = until.saturating_duration_since(Instant::now()).max(LAST_WRITE);
+            let wrote = self.stream().set_write_timeout(Some(time)).and_then(|()| self.stream().write(left));
+            match wrote {
+                Ok(count) if count > 0 => left = &left[count..],
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                _ => self.cut(),
+            }
+        }
+    }
+
+    /// The turn to write. Guards against a client that reads nothing holding each thread that has an answer for it for the
+    /// sum of all waits: none waits beyond its own answer's time.
+    fn turn(&self, patience: Patience) -> Option<Turn<'_>> {
+        let mut writing = self.writing.lock().unwrap_or_else(PoisonError::into_inner);
+        while *writing {
+            writing = match patience {
+                Patience::Behind(_) => self.written.wait(writing).unwrap_or_else(PoisonError::into_inner),
+                Patience::Until(until) => {
+                    let left = until.checked_duration_since(Instant::now())?;
+                    self.written.wait_timeout(writing, left).unwrap_or_else(PoisonError::into_inner).0
+                }
+            };
+        }
+        *writing = true;
+        Some(Turn(self))
+    }
+}
+
+/// The turn to write on a connection, until it is dropped.
+struct Turn<'a>(&'a Connection);
+
+impl Drop for Turn<'_> {
+    fn drop(&mut self) {
+        *self.0.writing.lock().unwrap_or_else(PoisonError::into_inner) = false;
+        self.0.written.notify_one();
+    }
+}
--- a/edge/fronts/src/msgpack/mod.rs
+++ b/edge/fronts/src/msgpack/mod.rs
@@ -1,35 +1,35 @@
 //! The platform's front: MessagePack-RPC over TCP. One thread reads a connection; whoever has an answer writes
-//! it, whole and in one piece, under the connection's lock.
-
-pub mod codec;
+//! it, whole and in one piece, when it is its turn.
 
 use crate::places::Place;
-use codec::{Call, Heard, Unread};
+use answering::Answering;
+use codec::{Asked, Call, Heard, Unread};
+use connection::{Connection, Patience};
 use foldmux::interface::Time;
 use foldmux_core::clock::span;
-use foldmux_core::request::Slot;
 use foldmux_core::tally::End;
-use foldmux_core::{Answer, Core, Inquiry, Reply};
-use std::collections::HashMap;
-use std::io::{BufReader, ErrorKind, Read, Write};
-use std::net::{Shutdown, TcpStream};
+use foldmux_core::{Core, Inquiry};
+use patient::Patient;
+use std::io::BufReader;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, RwLock};
+use std::sync::{Arc, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
+mod answering;
+pub mod codec;
+mod connection;
+mod patient;
+
 /// Open requests that one connection carries.
 const OPEN: usize = 32;
 /// Taken off what a client says it waits (us): the request's way here and the answer's way back.
 const WAYS: Time = 30_000;
 /// How long a client may leave an answer unread beyond its own deadline before its connection is closed.
 const SLOW: Duration = Duration::from_millis(500);
-/// A connection that neither asks nor awaits anything for so long is closed; clients do so after 4 s.
-const IDLE: Duration = Duration::from_secs(6);
-/// For the first message, and for the rest of any message that has begun: a client is owed a word or a close
-/// within 3 s, whatever it sends.
-const HALF: Duration = Duration::from_millis(2_500);
 /// Leaving, a request with less time than this before the process must go is refused rather than begun (us).
 const LEAST_LEFT: Time = 50_000;
+/// Bytes read from a connection at once.
+const READ: usize = 4096;
 
 /// A class as it is served here.
 #[derive(Clone)]
@@ -55,56 +55,80 @@
     pub nobody: Arc<str>,
 }
 
+/// Why no more calls are read from a connection.
+enum Stopped {
+    /// The client closed, or nothing can be told to it any more.
+    Gone,
+    /// Nothing more that it sends is taken: it can't be read, or it came too late.
+    Unreadable,
+}
+
 impl Front {
+    /// The classes that clients may name now.
+    pub fn classes(&self) -> Arc<Vec<Taken>> {
+        self.classes.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// Serves one connection until it ends; called on a thread of its own.
     pub fn serve(&self, place: Place) {
-        let _ = place.stream.set_nodelay(true);
         let connection = Arc::new(Connection::new(place));
-        let mut reader = BufReader::with_capacity(4096, Patient::new(connection.clone()));
+        let stopped = self.read(&connection);
+        // Also where our side has ended already: then the client has a while to close.
+        if matches!(stopped, Stopped::Unreadable) || connection.place.ended_for().is_some() {
+            connection.end_when_answered();
+        }
+        // Whatever is open yet, its client has closed: it wants none of its answers.
+        connection.close_all().into_iter().for_each(|slot| self.core.leave(&slot));
+        connection.cut();
+    }
+
+    /// Reads messages and deals with each, until no more are taken.
+    fn read(&self, connection: &Arc<Connection>) -> Stopped {
+        let mut reader = BufReader::with_capacity(READ, Patient::new(connection.clone()));
         let mut last = None;
+        // After a number that does not count up, no more calls are taken: only what the client gives up is heard.
+        let mut calls_taken = true;
         loop {
-            let begun = !reader.buffer().is_empty();
+            let begun = calls_taken && !reader.buffer().is_empty();
             reader.get_mut().next(begun, last.is_some());
             let heard = codec::read(&mut reader, &self.core.buffers);
             let arrived = Instant::now();
-            let number = match &heard {
-                Ok(Heard::Call(call)) => Some(call.id),
-                Ok(Heard::Refused(id, _)) => Some(*id),
-                Err(Unread::Garbled(id, _)) => *id,
-                _ => None,
-            };
-            if number.is_some() && number <= last {
-                return self.misnumbered(&connection, number.unwrap_or_default());
+            if connection.is_broken() {
+                return Stopped::Gone;
+            }
+            let number = number_of(&heard);
+            if calls_taken && number.is_some() && number <= last {
+                calls_taken = false;
+                self.misnumbered(connection, number.unwrap_or_default());
             }
-            last = number.or(last);
+            last = number.max(last);
             match heard {
-                Ok(Heard::Call(call)) => self.call(&connection, call, arrived),
-                Ok(Heard::Forget(ids)) => {
-                    for slot in ids.into_iter().filter_map(|id| connection.close(id)) {
-                        self.core.leave(&slot);
-                        connection.answered();
-                    }
-                }
-                Ok(Heard::Refused(id, why)) => self.unusable(&connection, id, why),
+                Ok(Heard::Forget(ids)) => self.forget(connection, ids),
+                Ok(_) if !calls_taken => {}
+                Ok(Heard::Call(call)) => self.call(connection, call, arrived),
+                Ok(Heard::Refused(id, why)) => self.unusable(connection, id, why),
                 Err(Unread::Garbled(id, why)) => {
                     // What follows can't be told apart any more. What was asked before is answered still.
-                    id.iter().for_each(|id| self.unusable(&connection, *id, why));
-                    return connection.end_when_answered();
+                    let answered = id.filter(|_| calls_taken);
+                    answered.iter().for_each(|id| self.unusable(connection, *id, why));
+                    return Stopped::Unreadable;
                 }
-                Err(Unread::Over) if reader.get_ref().late => return connection.end_when_answered(),
-                // Leaving, the process reads no more: what was asked is answered, then the connection ends.
-                Err(Unread::Over) if self.leave_by.get().is_some() => return connection.end_when_answered(),
-                Err(Unread::Over) => break,
+                Err(Unread::Over) if reader.get_ref().is_late() => return Stopped::Unreadable,
+                Err(Unread::Over) => return Stopped::Gone,
             }
         }
-        // The client closed: it wants none of its answers.
-        connection.close_all().into_iter().for_each(|slot| self.core.leave(&slot));
-        let _ = connection.stream().shutdown(Shutdown::Both);
+    }
+
+    fn forget(&self, connection: &Connection, ids: Vec<u32>) {
+        for slot in ids.into_iter().filter_map(|id| connection.close(id)) {
+            self.core.leave(&slot);
+            connection.place.done();
+        }
     }
 
     fn unusable(&self, connection: &Connection, id: u32, why: &'static str) {
         self.core.tally.end(None, End::Unusable);
-        connection.write_error(id, "Fault", Some(why));
+        connection.write(&codec::error(id, "Fault", Some(("why", why))), Patience::Behind(SLOW));
     }
 
     /// A number that does not count up. Guards against two answers under one number, and against a client that
@@ -112,19 +136,20 @@
     fn misnumbered(&self, connection: &Connection, number: u32) {
         if let Some(slot) = connection.close(number) {
             self.core.leave(&slot);
-            connection.write_error(number, "Fault", Some("two requests under one number"));
-            connection.answered();
+            let error = codec::error(number, "Fault", Some(("why", "two requests under one number")));
+            connection.write(&error, Patience::Behind(SLOW));
+            connection.place.done();
         }
-        connection.end_when_answered();
+        connection.place.end_when_idle();
     }
 
     fn call(&self, connection: &Arc<Connection>, call: Call, arrived: Instant) {
         let id = call.id;
         if call.method == "isWell" {
             let well = self.listed.load(Ordering::SeqCst) && self.leave_by.get().is_none();
-            return connection.write(&codec::well(id, well), arrived + SLOW);
+            return connection.write(&codec::well(id, well), Patience::Behind(SLOW));
         }
-        let classes = self.classes.read().unwrap_or_else(PoisonError::into_inner).clone();
+        let classes = self.classes();
         let Some(taken) = classes.iter().find(|c| *c.name == *call.method) else {
             return self.unusable(connection, id, "no such class");
         };
@@ -136,27 +161,14 @@
             Ok(asked) => asked,
             Err(why) => return self.unusable(connection, id, why),
         };
-        let mut budget = ((asked.wait_ms * 1000.0) as Time).min(taken.longest);
-        if let Some(by) = self.leave_by.get() {
-            // Leaving: what can't end before the process must go is given up at once, for another to take.
-            let left = by.saturating_duration_since(arrived).as_micros() as Time;
-            if left < LEAST_LEFT {
-                self.core.tally.end(Some(&taken.name), End::Shed);
-                return connection.write(&codec::shed(id, self.core.shed_wait), arrived + SLOW);
-            }
-            budget = budget.min(left);
-        }
-        let deadline = arrived + span(budget);
+        let Some(budget) = self.budget(taken, &asked, arrived) else {
+            return self.shed(connection, id, taken);
+        };
         let slot = self.core.slot();
         // Guards against one client's flood taking all places for requests: the last are for those under their share.
         let most = self.core.share(connection.place.among()).map_or(OPEN, |share| share.min(OPEN));
-        match connection.open(id, &slot, most) {
-            Opened::Yes => {}
-            Opened::Full => {
-                self.core.tally.end(Some(&taken.name), End::Shed);
-                return connection.write(&codec::shed(id, self.core.shed_wait), deadline + SLOW);
-            }
-            Opened::Ending => return,
+        if !connection.open(id, &slot, most) {
+            return self.shed(connection, id, taken);
         }
         let inquiry = Inquiry {
             via: asked.via,
@@ -175,207 +187,32 @@
             caller: self.nobody.clone(),
             within: None,
         };
-        let reply = Answering { connection: connection.clone(), id, deadline, done: false };
+        let reply = Answering::new(connection.clone(), id, arrived + span(budget));
         self.core.start(inquiry, slot, Box::new(reply));
     }
-}
-
-enum Opened {
-    Yes,
-    Full,
-    /// The connection was told to make way for another.
-    Ending,
-}
-
-struct Connection {
-    place: Place,
-    open: Mutex<Calls>,
-    writing: Mutex<()>,
-}
-
-#[derive(Default)]
-struct Calls {
-    slots: HashMap<u32, Arc<Slot>>,
-    /// Calls whose answers are not written yet, nor forgotten.
-    owed: usize,
-    /// Ends when nothing is owed any more.
-    ending: bool,
-}
-
-impl Connection {
-    fn new(place: Place) -> Connection {
-        Connection { place, open: Mutex::default(), writing: Mutex::default() }
-    }
-
-    fn stream(&self) -> &TcpStream {
-        &self.place.stream
-    }
-
-    fn calls(&self) -> MutexGuard<'_, Calls> {
-        self.open.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn open(&self, id: u32, slot: &Arc<Slot>, most: usize) -> Opened {
-        let mut calls = self.calls();
-        if calls.slots.len() >= most {
-            return Opened::Full;
-        }
-        if calls.owed == 0 && !self.place.busy() {
-            return Opened::Ending;
-        }
-        calls.owed += 1;
-        calls.slots.insert(id, slot.clone());
-        Opened::Yes
-    }
-
-    /// Whoever gets the slot out owes the call's end: its answer, or word that the client left.
-    fn close(&self, id: u32) -> Option<Arc<Slot>> {
-        self.calls().slots.remove(&id)
-    }
 
-    fn close_all(&self) -> Vec<Arc<Slot>> {
-        self.calls().slots.drain().map(|(_, slot)| slot).collect()
+    /// How long the client waits for this; none where the process must go too soon to begin it.
+    fn budget(&self, taken: &Taken, asked: &Asked, arrived: Instant) -> Option<Time> {
+        let budget = ((asked.wait_ms * 1000.0) as Time).min(taken.longest);
+        let Some(by) = self.leave_by.get() else { return Some(budget) };
+        // Leaving: what can't end before the process must go is given up at once, for another to take.
+        let left = by.saturating_duration_since(arrived).as_micros() as Time;
+        (left >= LEAST_LEFT).then(|| budget.min(left))
     }
 
-    fn idle(&self) -> bool {
-        self.calls().owed == 0
-    }
-
-    fn end_when_answered(&self) {
-        let mut calls = self.calls();
-        calls.ending = true;
-        let how = if calls.owed == 0 { Shutdown::Both } else { Shutdown::Read };
-        let _ = self.stream().shutdown(how);
-    }
-
-    /// After an answer, or word that none is wanted: a connection that was to end with its last one ends.
-    fn answered(&self) {
-        let mut calls = self.calls();
-        calls.owed -= 1;
-        if calls.owed == 0 {
-            self.place.idle();
-            if calls.ending {
-                let _ = self.stream().shutdown(Shutdown::Both);
-            }
-        }
-    }
-
-    fn write_error(&self, id: u32, word: &str, why: Option<&str>) {
-        self.write(&codec::error(id, word, why.map(|w| ("why", w))), Instant::now() + SLOW);
-    }
-
-    /// Writes one whole message. A client that does not take it in time loses its connection: the rest of a
-    /// cut message would be read as something else.
-    fn write(&self, message: &[u8], until: Instant) {
-        let _turn = self.writing.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut left = message;
-        while !left.is_empty() {
-            let time = until.saturating_duration_since(Instant::now()).max(Duration::from_millis(1));
-            let wrote = self.stream().set_write_timeout(Some(time)).and_then(|()| self.stream().write(left));
-            match wrote {
-                Ok(n) if n > 0 => left = &left[n..],
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                _ => {
-                    let _ = self.stream().shutdown(Shutdown::Both);
-                    return;
-                }
-            }
-        }
-    }
-}
-
-/// Reads from a connection. Guards against one that says nothing, or sends half a message, keeping its place.
-struct Patient {
-    connection: Arc<Connection>,
-    /// The message has begun.
-    begun: bool,
-    until: Instant,
-    /// It did not come whole in time.
-    late: bool,
-}
-
-impl Patient {
-    fn new(connection: Arc<Connection>) -> Patient {
-        Patient { connection, begun: false, until: Instant::now(), late: false }
-    }
-
-    /// A message is waited for; some of it may be here already.
-    fn next(&mut self, begun: bool, asked: bool) {
-        self.begun = begun;
-        self.until = Instant::now() + if begun || !asked { HALF } else { IDLE };
-    }
-}
-
-impl Read for Patient {
-    fn read(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
-        loop {
-            let now = Instant::now();
-            if now >= self.until {
-                if !self.begun && !self.connection.idle() {
-                    self.until = now + IDLE;
-                    continue;
-                }
-                self.late = true;
-                return Err(ErrorKind::TimedOut.into());
-            }
-            let mut stream = self.connection.stream();
-            stream.set_read_timeout(Some(self.until - now))?;
-            match stream.read(buffer) {
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {}
-                Ok(n) if n > 0 && !self.begun => {
-                    (self.begun, self.until) = (true, Instant::now() + HALF);
-                    return Ok(n);
-                }
-                read => return read,
-            }
-        }
+    /// Refuses a call that there is no room or no time for, before the core hears of it.
+    fn shed(&self, connection: &Connection, id: u32, taken: &Taken) {
+        self.core.tally.end(Some(&taken.name), End::Shed);
+        connection.write(&codec::shed(id, self.core.shed_wait), Patience::Behind(SLOW));
     }
 }
 
-/// One call's answer, owed to its connection.
-struct Answering {
-    connection: Arc<Connection>,
-    id: u32,
-    deadline: Instant,
-    done: bool,
-}
-
-impl Reply for Answering {
-    fn answer(mut self: Box<Self>, answer: Answer) {
-        self.give(answer);
-    }
-}
-
-impl Answering {
-    fn give(&mut self, answer: Answer) {
-        self.done = true;
-        if self.connection.close(self.id).is_none() {
-            // Forgotten meanwhile: no answer is owed.
-            return;
-        }
-        let until = self.deadline + SLOW;
-        match answer {
-            Answer::Served(mut served) => {
-                let message = codec::served(self.id, &mut served.bytes, served.body);
-                match message {
-                    Some(message) => self.connection.write(&served.bytes[message], until),
-                    None => self.connection.write_error(self.id, "Fault", Some("answer too long")),
-                }
-            }
-            Answer::Same => self.connection.write(&codec::same(self.id), until),
-            Answer::Shed { wait } => self.connection.write(&codec::shed(self.id, wait), until),
-            Answer::Failed => self.connection.write_error(self.id, "Fault", None),
-        }
-        self.connection.answered();
-    }
-}
-
-impl Drop for Answering {
-    /// Guards against a request that ends without an answer, by a panic say: its client is told.
-    fn drop(&mut self) {
-        if !self.done {
-            self.give(Answer::Failed);
-        }
+/// The number under which a client waits for an answer to this.
+fn number_of(heard: &Result<Heard, Unread>) -> Option<u32> {
+    match heard {
+        Ok(Heard::Call(call)) => Some(call.id),
+        Ok(Heard::Refused(id, _)) => Some(*id),
+        Err(Unread::Garbled(id, _)) => *id,
+        _ => None,
     }
 }
--- a/edge/fronts/src/places.rs
+++ b/edge/fronts/src/places.rs
@@ -1,15 +1,28 @@
-//! Places for connections, bounded. When all are taken, a connection on which nothing is open makes way for a
-//! newcomer: first one that has never asked for anything, then the one that has been idle for longest.
-
+//! Places for connections, bounded. When they are short, a connection on which nothing is open makes way for a
+//! newcomer: first one that has ended already and lingers, then one that has never asked for anything, then the one that
+//! has been idle for longest.
+//!
+//! A connection is idle while no message has begun on it and no answer is owed. It is ended only while it is idle, and by
+//! the graceful close of [`closing`](crate::closing).
+
+use crate::closing::LINGER;
 use std::collections::BTreeMap;
-use std::net::{Shutdown, TcpStream};
+use std::net::TcpStream;
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
+use taken::{Phase, Taken, NEW};
+
+mod taken;
+#[cfg(test)]
+mod tests;
 
-/// How long one that is to make way may take to be gone.
-const MAKE_WAY: Duration = Duration::from_millis(200);
-/// A newcomer has so long to ask before one that has asked and is idle makes way first.
-const NEW: Duration = Duration::from_millis(100);
+/// How long one that was cut may take to be gone.
+const GONE: Duration = Duration::from_millis(200);
+/// How long one that is to make way, with no other to cut, may linger before it is cut: a request may cross a close for
+/// as long.
+const CROSSING: Duration = Duration::from_millis(50);
+/// Of so many places one is kept free ahead, so that who makes way can linger while newcomers are taken.
+const SPARE: usize = 16;
 
 pub struct Places {
     most: usize,
@@ -21,16 +34,7 @@
 struct State {
     taken: BTreeMap<u64, Taken>,
     next: u64,
-    /// The process leaves: a connection ends as soon as nothing is open on it.
-    leaving: bool,
-}
-
-struct Taken {
-    stream: Arc<TcpStream>,
-    /// Since when nothing is open on it.
-    idle: Option<Instant>,
-    asked: bool,
-    ending: bool,
+    phase: Phase,
 }
 
 /// One connection's place, given back however its thread ends, also where it never started.
@@ -49,74 +53,167 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// A place for a newcomer, or none where all are busy: never that of a connection with an open request.
-    pub fn take(self: &Arc<Self>, stream: TcpStream) -> Option<Place> {
+    /// A place for a newcomer, or the stream back where all are busy: never that of a connection with something open.
+    pub fn take(self: &Arc<Self>, stream: TcpStream) -> Result<Place, TcpStream> {
         let mut state = self.state();
         if state.taken.len() >= self.most {
-            let now = Instant::now();
-            let victim = state.taken.values_mut().filter(|t| !t.ending).filter_map(|t| {
-                let idle = t.idle?;
-                let new = !t.asked && now.saturating_duration_since(idle) < NEW;
-                Some(((new, t.asked, idle), t))
-            });
-            let victim = victim.min_by_key(|(order, _)| *order);
-            victim.into_iter().for_each(|(_, taken)| taken.end());
-            let full = |s: &mut State| s.taken.len() >= self.most && s.taken.values().any(|t| t.ending);
-            let waited = self.freed.wait_timeout_while(state, MAKE_WAY, full);
-            state = waited.unwrap_or_else(PoisonError::into_inner).0;
+            state = self.make_room(state);
             if state.taken.len() >= self.most {
-                return None;
+                return Err(stream);
             }
         }
+        let staying = state.taken.values().filter(|taken| taken.ended.is_none()).count();
+        if staying + self.most / SPARE >= self.most {
+            state.end_one();
+        }
         let (number, stream) = (state.next, Arc::new(stream));
-        let taken = Taken { stream: stream.clone(), idle: Some(Instant::now()), asked: false, ending: false };
-        state.taken.insert(number, taken);
+        state.taken.insert(number, Taken::new(stream.clone()));
         state.next += 1;
-        Some(Place { places: self.clone(), number, stream })
+        Ok(Place { places: self.clone(), number, stream })
+    }
+
+    /// All places are taken: waits for one that lingers, or that is told to make way now, to be gone.
+    fn make_room<'a>(&self, mut state: MutexGuard<'a, State>) -> MutexGuard<'a, State> {
+        if state.longest_lingering().is_none() {
+            state.end_one();
+        }
+        if let Some(lingered) = state.longest_lingering() {
+            state = self.wait_for_room(state, CROSSING.saturating_sub(lingered));
+        }
+        if state.taken.len() >= self.most {
+            state.cut_one();
+        }
+        if state.taken.values().any(|taken| taken.cut) {
+            state = self.wait_for_room(state, GONE);
+        }
+        state
+    }
+
+    fn wait_for_room<'a>(&self, state: MutexGuard<'a, State>, time: Duration) -> MutexGuard<'a, State> {
+        let full = |state: &mut State| state.taken.len() >= self.most;
+        self.freed.wait_timeout_while(state, time, full).unwrap_or_else(PoisonError::into_inner).0
     }
 
     /// The process leaves: connections with nothing open end now, the others with their last answer. A client
     /// whose request crosses such a close sends it again on a new connection, to whoever listens then.
     pub fn leave(&self) {
+        self.enter(Phase::Leaving);
+    }
+
+    /// The serving time is over: also those end that have not asked for anything.
+    pub fn close(&self) {
+        self.enter(Phase::Closing);
+    }
+
+    fn enter(&self, phase: Phase) {
         let mut state = self.state();
-        state.leaving = true;
-        let idle = state.taken.values_mut().filter(|t| t.idle.is_some() && t.asked && !t.ending);
-        idle.for_each(Taken::end);
+        state.phase = phase;
+        for taken in state.taken.values_mut().filter(|taken| taken.is_to_end(phase)) {
+            taken.end_unless_asked();
+        }
+    }
+
+    /// Cuts those that have lingered for long enough, and ends those that were new when the process began to close.
+    pub fn sweep(&self) {
+        let mut state = self.state();
+        let phase = state.phase;
+        for taken in state.taken.values_mut() {
+            if taken.ended.is_some_and(|at| at.elapsed() >= LINGER) {
+                taken.cut();
+            }
+            if taken.is_to_end(phase) {
+                taken.end_unless_asked();
+            }
+        }
+    }
+
+    /// How many connections there are, those that linger among them.
+    pub fn count(&self) -> usize {
+        self.state().taken.len()
     }
 }
 
-impl Taken {
-    /// It is to make way, or the process leaves: its reader hears the close, and its thread gives the place back.
-    fn end(&mut self) {
-        self.ending = true;
-        let _ = self.stream.shutdown(Shutdown::Both);
+impl State {
+    /// Ends one that is idle, for a newcomer; false where there is none.
+    fn end_one(&mut self) -> bool {
+        let now = Instant::now();
+        let mut idle: Vec<_> = self.taken.values_mut().filter(|taken| taken.is_idle()).collect();
+        idle.sort_by_key(|taken| {
+            let new = !taken.asked && now.saturating_duration_since(taken.idle) < NEW;
+            (new, taken.asked, taken.idle)
+        });
+        idle.into_iter().any(Taken::end_unless_asked)
+    }
+
+    /// Those that have ended and are not cut yet.
+    fn lingering(&mut self) -> impl Iterator<Item = &mut Taken> {
+        self.taken.values_mut().filter(|taken| taken.ended.is_some() && !taken.cut)
+    }
+
+    fn longest_lingering(&mut self) -> Option<Duration> {
+        self.lingering().filter_map(|taken| taken.ended).map(|at| at.elapsed()).max()
+    }
+
+    /// Cuts the one that has lingered for longest.
+    fn cut_one(&mut self) {
+        let longest = self.lingering().min_by_key(|taken| taken.ended);
+        longest.into_iter().for_each(Taken::cut);
     }
 }
 
 impl Place {
-    /// Something is open on the connection now; false if it has been told to make way.
-    pub fn busy(&self) -> bool {
+    /// Changes this connection's entry, which is there for as long as the place.
+    fn with<T>(&self, change: impl FnOnce(&mut Taken, Phase) -> T) -> Option<T> {
         let mut state = self.places.state();
-        let Some(taken) = state.taken.get_mut(&self.number) else { return false };
-        (taken.idle, taken.asked) = (None, true);
-        !taken.ending
+        let phase = state.phase;
+        state.taken.get_mut(&self.number).map(|taken| change(taken, phase))
     }
 
-    /// How many connections have something open, this one among them.
-    pub fn among(&self) -> usize {
-        self.places.state().taken.values().filter(|t| t.idle.is_none()).count().max(1)
+    /// A message has begun; false if the connection has ended, and what is read now comes too late.
+    pub fn begin(&self) -> bool {
+        let begun = self.with(|taken, _| {
+            taken.asked = true;
+            taken.open += taken.ended.is_none() as usize;
+            taken.ended.is_none()
+        });
+        begun.unwrap_or(false)
     }
 
-    /// Nothing is open on it any more.
-    pub fn idle(&self) {
-        let mut state = self.places.state();
-        let leaving = state.leaving;
-        if let Some(taken) = state.taken.get_mut(&self.number) {
-            taken.idle = Some(Instant::now());
-            if leaving && !taken.ending {
-                taken.end();
-            }
-        }
+    /// An answer is owed from now on. Called while the message that asks for it counts as open.
+    pub fn owe(&self) {
+        self.with(|taken, _| taken.open += 1);
+    }
+
+    /// A message was dealt with, or an answer is owed no more.
+    pub fn done(&self) {
+        self.with(|taken, phase| {
+            taken.open -= 1;
+            taken.idle = Instant::now();
+            taken.end_if_due(phase);
+        });
+    }
+
+    /// No more requests are taken: the connection ends once nothing is open on it.
+    pub fn end_when_idle(&self) {
+        self.with(|taken, phase| {
+            taken.last = true;
+            taken.end_if_due(phase);
+        });
+    }
+
+    /// For how long nothing has been open; none while something is.
+    pub fn idle_for(&self) -> Option<Duration> {
+        self.with(|taken, _| (taken.open == 0).then(|| taken.idle.elapsed())).flatten()
+    }
+
+    /// How long ago our side ended; none where it has not.
+    pub fn ended_for(&self) -> Option<Duration> {
+        self.with(|taken, _| taken.ended.map(|at| at.elapsed())).flatten()
+    }
+
+    /// How many connections have something open, this one among them.
+    pub fn among(&self) -> usize {
+        self.places.state().taken.values().filter(|taken| taken.open > 0).count().max(1)
     }
 }
 
@@ -126,41 +223,3 @@
         self.places.freed.notify_all();
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-    use std::io::Read;
-    use std::net::TcpListener;
-
-    #[test]
-    fn the_idle_make_way_and_the_busy_never_do() {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let places = Places::new(2);
-        let mut fars = Vec::new();
-        let mut connect = || {
-            fars.push(TcpStream::connect(listener.local_addr().unwrap()).unwrap());
-            listener.accept().unwrap().0
-        };
-        let (asked, silent) = (places.take(connect()).unwrap(), places.take(connect()).unwrap());
-        assert!(asked.busy());
-        asked.idle();
-        // The silent one makes way once it is no newcomer, before the one that asked first.
-        places.state().taken.get_mut(&silent.number).unwrap().idle = Instant::now().checked_sub(2 * NEW);
-        let gone = std::thread::spawn(move || {
-            let ended = (&*silent.stream).read(&mut [0]).unwrap_or(0);
-            drop(silent);
-            ended
-        });
-        let third = places.take(connect()).unwrap();
-        assert_eq!(gone.join().unwrap(), 0);
-        // Its place is kept by one that does not go, or that has something open.
-        assert!(asked.busy() && third.busy());
-        assert!(places.take(connect()).is_none(), "both are busy");
-        asked.idle();
-        assert!(places.take(connect()).is_none(), "it was told to make way, and has not gone");
-        assert!(!asked.busy(), "what is read now comes too late");
-        drop(asked);
-        assert!(places.take(connect()).is_some());
-    }
-}
--- /dev/null
+++ b/edge/fronts/src/places/taken.rs
@@ -0,0 +1,86 @@
+//! One connection as the places know it: what is open on it, and whether it has ended.
+
+use crate::closing::{cut, has_arrived, stop_writing};
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// A newcomer has so long to ask before one that has asked and is idle makes way first.
+pub(super) const NEW: Duration = Duration::from_millis(100);
+
+/// How far the process has left.
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
+pub(super) enum Phase {
+    #[default]
+    Serving,
+    /// A connection that has asked ends once it is idle.
+    Leaving,
+    /// Each does.
+    Closing,
+}
+
+/// The entry of one connection.
+pub(super) struct Taken {
+    pub(super) stream: Arc<TcpStream>,
+    /// Messages that have begun, and answers that are owed.
+    pub(super) open: usize,
+    /// Since when nothing is open on it.
+    pub(super) idle: Instant,
+    pub(super) asked: bool,
+    /// Takes no more requests: it ends once nothing is open.
+    pub(super) last: bool,
+    /// When our side stopped writing.
+    pub(super) ended: Option<Instant>,
+    /// Shut both ways: its thread is about to give the place back.
+    pub(super) cut: bool,
+}
+
+impl Taken {
+    pub(super) fn new(stream: Arc<TcpStream>) -> Taken {
+        let idle = Instant::now();
+        Taken { stream, open: 0, idle, asked: false, last: false, ended: None, cut: false }
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.open == 0 && self.ended.is_none()
+    }
+
+    pub(super) fn is_to_end(&self, phase: Phase) -> bool {
+        let ends = match phase {
+            Phase::Serving => false,
+            Phase::Leaving => self.asked,
+            Phase::Closing => self.asked || self.idle.elapsed() >= NEW,
+        };
+        ends && self.is_idle()
+    }
+
+    pub(super) fn end_if_due(&mut self, phase: Phase) {
+        if self.last && self.is_idle() {
+            // Whatever arrives now is not taken: there is no request to wait for.
+            self.end();
+        } else if self.is_to_end(phase) {
+            self.end_unless_asked();
+        }
+    }
+
+    /// Ends it, unless the next request has arrived: that one is answered first. Whether it has ended.
+    pub(super) fn end_unless_asked(&mut self) -> bool {
+        let ends = !has_arrived(&self.stream);
+        if ends {
+            self.end();
+        }
+        ends
+    }
+
+    pub(super) fn end(&mut self) {
+        self.ended = Some(Instant::now());
+        stop_writing(&self.stream);
+    }
+
+    pub(super) fn cut(&mut self) {
+        if !self.cut {
+            self.cut = true;
+            cut(&self.stream);
+        }
+    }
+}
--- /dev/null
+++ b/edge/proxy/tests/closes.rs
@@ -0,0 +1,89 @@
+//! Connections that the program ends by itself while it serves: after a rest, and to make way. A request across such an
+//! end meets no reset, and one that arrived before it is served.
+
+use steps::{Client, Rig};
+
+mod common;
+#[path = "common/steps.rs"]
+mod steps;
+
+const ONE: u64 = 0x1111_0000_0000_0001;
+const TWO: u64 = 0x2222_0000_0000_0002;
+
+/// A client with one answer behind it, at rest.
+fn rested(rig: &Rig, object: u64) -> Client {
+    let mut client = rig.client();
+    client.ask(object);
+    rig.attempt().give(b"ok");
+    assert!(client.answer().contains("\\xc4\\x02ok"));
+    client
+}
+
+#[test]
+fn a_request_across_the_end_of_a_long_rest_meets_no_reset_and_is_not_sent_on() {
+    let rig = Rig::start();
+    let mut client = rested(&rig, ONE);
+    client.ends();
+    for n in 0..3 {
+        // After a reset it could not be written.
+        client.ask(TWO + n);
+        client.ends();
+    }
+    assert_eq!(rig.waiting_attempts(), 0);
+}
+
+#[test]
+fn whoever_makes_way_sees_an_end_and_one_whose_request_has_arrived_does_not_make_way() {
+    // 64 descriptors: 21 places for clients, of which one is kept free ahead.
+    let rig = Rig::start_with(|config| config.replace("\"sockets\":1024", "\"sockets\":64"));
+    let mut resting: Vec<Client> = (0..20).map(|n| rested(&rig, ONE + n)).collect();
+    rig.stop();
+    resting[0].ask(TWO);
+    let mut newcomer = rig.client();
+    newcomer.ask(TWO + 1);
+    rig.go_on();
+    let (mut one, mut other) = (rig.attempt(), rig.attempt());
+    one.give(b"ok");
+    other.give(b"ok");
+    assert!(resting[0].answer().contains("\\xc4\\x02ok"));
+    assert!(newcomer.answer().contains("\\xc4\\x02ok"));
+    // The one that rested for longest beside it went.
+    resting[1].ends();
+    for n in 2..5 {
+        resting[1].ask(TWO + n);
+        resting[1].ends();
+    }
+    assert_eq!(rig.waiting_attempts(), 0);
+    drop(newcomer);
+}
+
+#[test]
+fn without_descriptors_the_acceptor_sleeps_and_takes_connections_again_when_they_come_back() {
+    let rig = Rig::start();
+    let process = rig.program.id();
+    let used = std::fs::read_dir(format!("/proc/{process}/fd")).unwrap().count();
+    let limit = format!("--nofile={0}:{0}", used + 3);
+    let limited =
+        std::process::Command::new("prlimit").args(["--pid", &process.to_string(), &limit]).status();
+    assert!(limited.unwrap().success());
+    let mut taken: Vec<Client> = (0..3).map(|_| rig.client()).collect();
+    taken.iter_mut().for_each(|client| assert!(client.is_well()));
+    let mut queued = rig.client();
+    // It leaves the processor by itself, again and again.
+    let sleeps = || acceptor_sleeps(process);
+    let from = sleeps();
+    while sleeps() < from + 10 {
+        std::thread::yield_now();
+    }
+    drop(taken);
+    assert!(queued.is_well());
+}
+
+/// How often the acceptor's thread has gone to sleep.
+fn acceptor_sleeps(process: u32) -> u64 {
+    let tasks = std::fs::read_dir(format!("/proc/{process}/task")).unwrap();
+    let mut status = tasks.filter_map(|task| std::fs::read_to_string(task.ok()?.path().join("status")).ok());
+    let acceptor = status.find(|status| status.starts_with("Name:\taccept\n")).expect("the acceptor");
+    let line = acceptor.lines().find_map(|line| line.strip_prefix("voluntary_ctxt_switches:")).unwrap();
+    line.trim().parse().unwrap()
+}
--- a/edge/proxy/tests/common/mod.rs
+++ b/edge/proxy/tests/common/mod.rs
@@ -82,7 +82,7 @@
     }
 
     /// Puts another configuration in place of the first; what the log says of it.
-    fn reload(&self, config: &str) -> String {
+    pub fn reload(&self, config: &str) -> String {
         std::fs::write(&self.file, config).unwrap();
         self.signal("-HUP");
         std::iter::from_fn(|| self.log.recv_timeout(PATIENCE).ok())
