End each connection in order before the process exits

`leave` waited for `core.open() == 0` and 50 ms, then exited: a message half read, an answer not yet read, a connection not yet out of the accept queue were cut. When SIGKILL may come was reckoned with the classes of the start, also after a reload. Streams of the external processor were waited for, up to 6 s, before clients were told anything.

After the serving time each connection ends once nothing is open on it and no message has begun; the process exits when the acceptor is done, no request is open and no connection is left. A client that does not close is waited for until shortly before SIGKILL may come, and no longer; that moment follows from the classes in force. The processor's streams end meanwhile. Requests open beyond SIGKILL's moment are waited for as before.

--- a/edge/proxy/src/server.rs
+++ b/edge/proxy/src/server.rs
@@ -4,7 +4,7 @@
 use crate::config::Config;
 use crate::fleet::{self, parts::Own};
 use crate::journal::{Journal, Names, Service};
-use crate::leave::{leave, until_killed, LONGEST};
+use crate::leave::{until_killed, Leaving, LONGEST};
 use crate::line::{self, Hand, Sources};
 use crate::reload::{processed, rekey, relimit, reload, reweigh, rewire, routed, rules, served, tell};
 use crate::wiring::{Live, Zones};
@@ -143,7 +143,6 @@
     };
     let listed_too = listed.clone();
     let leave_by = Arc::new(OnceLock::new());
-    let longest = taken.iter().map(|class| class.longest).max().unwrap_or(0);
     let front = Arc::new(Front {
         leave_by: leave_by.clone(),
         core: core.clone(),
@@ -156,7 +155,7 @@
     let places = Places::new(bounds.clients);
     let closing = Arc::new(AtomicBool::new(false));
     let (close, connections) = (closing.clone(), places.clone());
-    named("accept", READER_STACK, move || {
+    let acceptor = named("accept", READER_STACK, move || {
         accept_until(&listener, &places, READER_STACK, Arc::new(serve), &close);
         tracing::info!("no more connections are taken");
     })?;
@@ -208,13 +207,22 @@
             tell("token keys", rekey(own_file, serving).map(counted).map_err(counted));
         }
     }
+    // By the classes of now: a reload may have brought other deadlines.
+    let longest = retuned.classes().iter().map(|class| class.longest).max().unwrap_or(0);
+    let by = Instant::now() + until_killed(longest);
+    let _ = leave_by.set(by);
     own_fleet.iter().for_each(fleet::Running::leave);
-    if let Some(mut serving) = processor.take() {
-        let ended = serving.leave(LONGEST);
-        tracing::info!("external processor: {}; all streams ended: {ended}", serving.line());
+    // Beside the clients' end: streams that do not end must not hold that up.
+    let processor = processor.take().map(|mut serving| {
+        named("processor", 512 * 1024, move || {
+            let ended = serving.leave(LONGEST);
+            tracing::info!("external processor: {}; all streams ended: {ended}", serving.line());
+        })
+    });
+    Leaving { core, connections, closing, acceptor, by }.leave();
+    if let Some(Ok(processor)) = processor {
+        let _ = processor.join();
     }
-    let _ = leave_by.set(Instant::now() + until_killed(longest));
-    leave(&core, &closing, &connections);
     own_fleet.into_iter().for_each(fleet::Running::end);
     Ok(())
 }
