--- a/pure/fair/src/holder.rs
+++ b/pure/fair/src/holder.rs
@@ -190,22 +190,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use foldmux_seats::Seats;
-
-    #[test]
-    fn one_that_wants_no_more_says_so_once() {
-        let seats = Seats::new(["a", "b", "c"].map(Peer::new)).expect("three");
-        let seats = Change::settled(seats);
-        let mut holder = Holder::new(1, 7, 1_000_000, Drift::percent(1.0).expect("a drift"));
-        let asks = |words: &[Word]| match words {
-            [Word::Claim { slots, more, .. }] => Some((slots.len(), *more)),
-            _ => None,
-        };
-        assert_eq!(asks(&holder.step(0, &seats, 2)), Some((0, 2)));
-        assert_eq!(holder.step(20_000, &seats, 2), [], "it has asked");
-        assert_eq!(asks(&holder.step(40_000, &seats, 0)), Some((0, 0)));
-        assert_eq!(holder.step(200_000, &seats, 0), [], "the seats know");
-    }
-}
+mod tests;
