--- /dev/null
+++ b/pure/repeats/src/token/tests.rs
@@ -0,0 +1,64 @@
+//! Signing, verifying and rotating the keys of attempt tokens.
+
+use super::*;
+use proptest::prelude::*;
+
+fn token() -> Token {
+    let (request, key) = (Mark::of("9b1f03aa5c7e2d41"), Mark::of("5c0f"));
+    Token { request, key, attempt: 2, group: 7, first: 1_000, expires: 3_000 }
+}
+
+#[test]
+fn a_token_is_read_by_whoever_has_its_key_until_its_time_is_over() {
+    let keys = Keys::new(1, b"secret");
+    let text = keys.sign(&token());
+    assert_eq!(Keys::new(1, b"secret").read(2_999, &text), Ok(token()));
+    assert_eq!(keys.read(3_000, &text), Err((Bad::Expired, Some(token()))));
+    assert_eq!(Keys::new(1, b"other").read(0, &text), Err((Bad::Forged, None)));
+    assert_eq!(Keys::new(2, b"secret").read(0, &text), Err((Bad::Foreign, None)));
+    for bad in ["", "!", &text[1..], &"A".repeat(TEXT_MOST + 4)] {
+        assert_eq!(keys.read(0, bad), Err((Bad::Malformed, None)), "{bad}");
+    }
+}
+
+#[test]
+fn a_former_key_is_believed_for_the_overlap_and_no_longer() {
+    let mut keys = Keys::new(1, b"one");
+    let text = keys.sign(&Token { expires: u64::MAX, ..token() });
+    keys.change(100, 50, 2, b"two");
+    assert!(keys.read(149, &text).is_ok());
+    assert_eq!(keys.read(150, &text), Err((Bad::Foreign, None)));
+    // A second change in the overlap does not make it longer.
+    keys.change(120, 50, 3, b"three");
+    assert_eq!(keys.read(150, &text), Err((Bad::Foreign, None)));
+    assert!(keys.read(160, &keys.sign(&token())).is_ok());
+}
+
+#[test]
+fn a_key_is_known_before_it_signs_and_believed_after_it_is_gone() {
+    let token = Token { expires: u64::MAX, ..token() };
+    let mut keys = Keys::new(1, b"one");
+    keys.set(0, 50, &[(2, b"two"), (1, b"one")]);
+    let by_one = keys.sign(&token);
+    assert!(Keys::new(1, b"one").read(0, &by_one).is_ok(), "the last of the file signs");
+    assert!(keys.read(0, &Keys::new(2, b"two").sign(&token)).is_ok(), "another instance was quicker");
+    keys.set(10, 50, &[(1, b"one"), (2, b"two")]);
+    assert!(Keys::new(2, b"two").read(10, &keys.sign(&token)).is_ok());
+    keys.set(20, 50, &[(2, b"two")]);
+    assert!(keys.read(69, &by_one).is_ok() && keys.read(70, &by_one).is_err());
+}
+
+proptest! {
+    #[test]
+    fn any_changed_byte_is_no_token(at in 0usize..BODY + MAC, by in 1u8..=255) {
+        let keys = Keys::new(1, b"secret");
+        let mut bytes = URL_SAFE_NO_PAD.decode(keys.sign(&token())).unwrap();
+        bytes[at] ^= by;
+        prop_assert!(keys.read(0, &URL_SAFE_NO_PAD.encode(bytes)).is_err());
+    }
+
+    #[test]
+    fn any_text_is_read_or_refused(text in ".{0,160}") {
+        prop_assert!(Keys::new(1, b"secret").read(0, &text).is_err());
+    }
+}
