--- a/hub/tests/common/mod.rs
+++ b/hub/tests/common/mod.rs
@@ -4,15 +4,22 @@
 use foldmux_hub::{start, Running};
 use foldmux_operator::script::evaluate;
 use foldmux_standins::client::{self, Answer};
-use foldmux_standins::source::Source;
+use foldmux_standins::source::{Act, Ask, Source};
 use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
 /// Longer than anything takes; it ends a test that waits for what never comes.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 
+/// Three hubs, each below the archive.
+pub const THREE: Wiring = &[("east", &["archive"]), ("north", &["archive"]), ("south", &["archive"])];
+/// Bounds that no test reaches by itself.
+pub const WIDE: &str =
+    "relay(connections = 2000, fetches = 1000, waits = 4000, lease_ms = 2000, wait_ms = 20000)";
+
 pub struct Rig {
     pub archive: Source,
     pub hubs: Vec<Running>,
@@ -94,7 +101,36 @@
     }
 }
 
-pub fn load(count: &std::sync::atomic::AtomicU64) -> u64 {
+/// An archive that gives copies of this length, each after a pause.
+pub fn archive(length: usize, after: Duration) -> Source {
+    Source::start(move |_| Act::give(length, after))
+}
+
+/// An archive whose copies are of the version that stands there now.
+pub fn versioned(version: Arc<AtomicU64>, length: usize, after: Duration) -> Source {
+    Source::start(move |_| Act::Give {
+        version: version.load(Ordering::SeqCst),
+        length,
+        born_ms: None,
+        after,
+        pieces: 1,
+        between: Duration::ZERO,
+    })
+}
+
+/// No name is on a fill's way twice, as the archive sees it.
+pub fn no_node_twice(log: &[Ask]) {
+    for ask in log {
+        let mut names: Vec<&str> =
+            ask.field("cdn-loop").split(',').filter_map(|e| e.trim().split(';').next()).collect();
+        let all = names.len();
+        names.sort();
+        names.dedup();
+        assert_eq!(names.len(), all, "a node twice on {}", ask.field("cdn-loop"));
+    }
+}
+
+pub fn load(count: &AtomicU64) -> u64 {
     count.load(Ordering::SeqCst)
 }
 
--- a/hub/tests/journal.rs
+++ b/hub/tests/journal.rs
@@ -1,14 +1,19 @@
 //! The hubs' own polls of the journal service: events that can't be read, and a break that all see at one moment.
 
-use common::{until, Rig};
+use common::{load, until, versioned, Rig, WIDE};
 use foldmux_http1::io::write_all;
 use foldmux_standins::source::{Act, Source};
+use foldmux_standins::{body, unix_ms};
 use std::io::Read;
 use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 mod common;
 
+/// Length of a copy.
+const LENGTH: usize = 10_000;
 const HUBS: [&str; 8] = ["east", "west", "north", "south", "hill", "vale", "port", "mill"];
 
 fn hubs(journal: &TcpListener) -> Rig {
@@ -50,6 +55,28 @@
         let end = Instant::now() + Duration::from_secs(20);
         write_all(poll, &[head.as_bytes(), body.as_bytes()], end).unwrap();
     }
-    let purges = || rig.count("*", |tally| common::load(&tally.purges));
+    let purges = || rig.count("*", |tally| load(&tally.purges));
     until("each hub takes the purge", || purges() == HUBS.len() as u64);
 }
+
+#[test]
+fn a_hub_that_hears_of_purges_gives_no_older_copy_whatever_is_asked() {
+    let version = Arc::new(AtomicU64::new(1));
+    let now = version.clone();
+    let archive = versioned(now, LENGTH, Duration::ZERO);
+    let journal = foldmux_standins::journal::Journal::start();
+    let settings = WIDE.replace(')', &format!(", journal = \"{}\")", journal.address()));
+    let rig = Rig::new(archive, &[("east", &["archive"])], &settings);
+    assert!((0..3).all(|object| rig.get("east", object, "").body == body(object, 0, 1, LENGTH)));
+    until("a moment passes", || unix_ms() > rig.get("east", 2, "").born_ms() + 2);
+    version.store(2, Ordering::SeqCst);
+    journal.tell(&foldmux_standins::journal::purged(0, unix_ms()));
+    until("it is told", || load(&rig.hub("east").hub.tally.purges) == 1);
+    // No bound in the fill, and yet: the purged one is new, the others are still held.
+    assert_eq!(rig.get("east", 0, "").body, body(0, 0, 2, LENGTH));
+    assert_eq!(rig.get("east", 1, "").body, body(1, 0, 1, LENGTH));
+    // A group may be any object here: all of them count.
+    journal.tell(&format!(r#""expire":{{"set":17,"stamp":{}}}"#, unix_ms()));
+    until("it is told", || load(&rig.hub("east").hub.tally.purges) == 2);
+    assert_eq!(rig.get("east", 1, "").body, body(1, 0, 2, LENGTH));
+}
