--- a/hub/src/reply.rs
+++ b/hub/src/reply.rs
@@ -1,7 +1,7 @@
 //! One answer written: whole, in part, an error or a refusal, each counted.
 
-use crate::asked::Asked;
 use crate::flight::{Copy, Meta, Verdict};
+use crate::request_fields::RequestFields;
 use crate::state::Hub;
 use crate::tally::add;
 use foldmux_http1::io::write_all;
@@ -26,16 +26,16 @@
 }
 
 impl What {
-    pub(crate) fn of(asked: &Asked, meta: &Meta) -> What {
+    pub(crate) fn of(fields: &RequestFields, meta: &Meta) -> What {
         let same = |text: &str| {
             let bare = |t: &str| t.trim().trim_start_matches("W/").trim_matches('"').to_string();
             !meta.tag.is_empty() && text.split(',').any(|t| bare(t) == bare(&meta.tag) || t.trim() == "*")
         };
-        if asked.none_match.as_deref().is_some_and(same) {
+        if fields.none_match.as_deref().is_some_and(same) {
             return What::Same;
         }
-        let Some(range) = &asked.range else { return What::All };
-        if asked.if_range.as_deref().is_some_and(|tag| !same(tag)) {
+        let Some(range) = &fields.range else { return What::All };
+        if fields.if_range.as_deref().is_some_and(|tag| !same(tag)) {
             return What::All;
         }
         // One range of bytes; a list of them, or another unit, may be answered whole (RFC 9110, 14.2).
@@ -170,8 +170,8 @@
     }
 
     /// A copy that is held, or what of it is asked for.
-    pub(crate) fn copy(&self, asked: &Asked, copy: &Copy) -> bool {
-        let body = match What::of(asked, &copy.meta).head(self, &copy.meta) {
+    pub(crate) fn copy(&self, fields: &RequestFields, copy: &Copy) -> bool {
+        let body = match What::of(fields, &copy.meta).head(self, &copy.meta) {
             Ok(Some(body)) => body,
             Ok(None) => return self.keep,
             Err(_) => return broken_off(self.hub),
--- a/hub/src/reply/tests.rs
+++ b/hub/src/reply/tests.rs
@@ -6,8 +6,11 @@
 fn a_range_is_what_the_standard_says() {
     let meta = Meta { tag: "\"a\"".into(), born_ms: 1, length: 10 };
     let of = |range: &str, if_range: Option<&str>| {
-        let asked =
-            Asked { range: Some(range.into()), if_range: if_range.map(str::to_string), ..Asked::default() };
+        let asked = RequestFields {
+            range: Some(range.into()),
+            if_range: if_range.map(str::to_string),
+            ..RequestFields::default()
+        };
         match What::of(&asked, &meta) {
             What::Part(range) => format!("{range:?}"),
             What::All => "all".into(),
@@ -34,6 +37,6 @@
         (of("bytes=0-0", Some("\"a\"")), of("bytes=0-0", Some("\"b\""))),
         ("0..1".into(), "all".into())
     );
-    let asked = Asked { none_match: Some("b, W/\"a\"".into()), ..Asked::default() };
+    let asked = RequestFields { none_match: Some("b, W/\"a\"".into()), ..RequestFields::default() };
     assert!(matches!(What::of(&asked, &meta), What::Same));
 }
--- a/hub/src/asked.rs
+++ b/hub/src/request_fields.rs
@@ -6,7 +6,7 @@
 
 /// What a request's fields say.
 #[derive(Default)]
-pub(crate) struct Asked {
+pub(crate) struct RequestFields {
     pub(crate) via: String,
     pub(crate) wait_ms: Option<u64>,
     pub(crate) max_age_ms: u64,
@@ -21,7 +21,7 @@
     pub(crate) unusable: Option<&'static str>,
 }
 
-impl Asked {
+impl RequestFields {
     pub(crate) fn field(&mut self, name: &str, value: &[u8]) {
         let is = |known: &str| name.eq_ignore_ascii_case(known);
         if is("cdn-loop") {
--- a/hub/src/asked/tests.rs
+++ b/hub/src/request_fields/tests.rs
@@ -21,7 +21,9 @@
 
 #[test]
 fn what_a_fill_says_of_its_tree_is_read_or_it_is_solo() {
-    let of = |text: Option<&str>| Asked { tree: text.map(str::to_string), ..Asked::default() }.arrival();
+    let of = |text: Option<&str>| {
+        RequestFields { tree: text.map(str::to_string), ..RequestFields::default() }.arrival()
+    };
     assert_eq!(of(None).0, Arrival::BEGINS);
     let (arrival, past) = of(Some("4-0000abcd;solo;past=east+south"));
     assert_eq!((arrival.stamp.unwrap().epoch, arrival.solo, past.len()), (4, true, 2));
--- a/hub/src/serve.rs
+++ b/hub/src/serve.rs
@@ -1,13 +1,13 @@
 //! A connection, and the life of each fill on it, from its head to its one answer, in one function.
 
-use crate::asked::{parse_path, Asked};
 use crate::book::{Entry, Fill};
-use crate::pass::pass_on;
 use crate::reply::Reply;
+use crate::request_fields::{parse_path, RequestFields};
 use crate::state::Hub;
 use crate::tally::add;
 use crate::threads;
 use crate::wait::wait_for;
+use crate::writes::pass_on;
 use foldmux_hierarchy::ledger::Key;
 use foldmux_hierarchy::way::{Fault, Way};
 use foldmux_http1::answer::MOST_HEAD;
@@ -32,9 +32,10 @@
     let mut buffer = vec![0; MOST_HEAD];
     let mut filled = 0;
     loop {
-        let mut asked = Asked::default();
+        let mut fields = RequestFields::default();
         let (first, rest) = (Instant::now() + IDLE, || Instant::now() + REST);
-        let read = read_request(stream, &mut buffer, &mut filled, first, rest, &mut |n, v| asked.field(n, v));
+        let read =
+            read_request(stream, &mut buffer, &mut filled, first, rest, &mut |n, v| fields.field(n, v));
         let request = match read {
             Ok(request) => request,
             Err(Unread::Ended) => return,
@@ -52,7 +53,8 @@
                 return drain(stream);
             }
         };
-        if !one(hub, stream, &request, &asked, &mut buffer, &mut filled) || hub.leaving.load(Ordering::SeqCst)
+        if !one(hub, stream, &request, &fields, &mut buffer, &mut filled)
+            || hub.leaving.load(Ordering::SeqCst)
         {
             return;
         }
@@ -75,7 +77,7 @@
     hub: &Arc<Hub>,
     stream: &TcpStream,
     request: &Request,
-    asked: &Asked,
+    fields: &RequestFields,
     buffer: &mut [u8],
     filled: &mut usize,
 ) -> bool {
@@ -102,10 +104,10 @@
     if request.method != "GET" && !head_only {
         return bad("405 Method Not Allowed", "");
     }
-    if let Some(why) = asked.unusable {
+    if let Some(why) = fields.unusable {
         return bad("400 Bad Request", why);
     }
-    let way = match Way::parse(&asked.way) {
+    let way = match Way::parse(&fields.way) {
         Ok(way) => way,
         Err(Fault::TooLong) => return bad("431 Request Header Fields Too Large", "CDN-Loop"),
         Err(Fault::TooManyHops) => {
@@ -119,36 +121,36 @@
         add(&hub.tally.loops_found);
         return reply.refuse("502 Bad Gateway", "proxy_loop_detected", "");
     }
-    let wait = asked.wait_ms.unwrap_or(hub.relay.wait_ms).min(hub.relay.wait_ms);
+    let wait = fields.wait_ms.unwrap_or(hub.relay.wait_ms).min(hub.relay.wait_ms);
     let until = arrived + Duration::from_millis(wait);
-    if request.length > 0 || asked.token.is_some() || hub.relay.writes.iter().any(|w| w == class_name) {
+    if request.length > 0 || fields.token.is_some() || hub.relay.writes.iter().any(|w| w == class_name) {
         add(&hub.tally.writes);
-        return pass_on(&reply, request, asked, &way, object, until, buffer, filled);
+        return pass_on(&reply, request, fields, &way, object, until, buffer, filled);
     }
     let Some(class) = hub.class(class_name) else {
         return bad("400 Bad Request", "there are too many classes");
     };
     let key = Key { class, object, part };
-    let born_after = match asked.max_age_ms {
+    let born_after = match fields.max_age_ms {
         0 => 0,
         age => hub.unix_ms().saturating_sub(age),
     };
     let born_after = hub.bound(object, born_after);
     if let Some(copy) = hub.held(key, born_after) {
         add(&hub.tally.hits);
-        return reply.copy(asked, &copy);
+        return reply.copy(fields, &copy);
     }
-    if asked.hold_only {
+    if fields.hold_only {
         add(&hub.tally.missing);
         return reply.bare("404 Not Found", "");
     }
-    let (arrival, past) = asked.arrival();
+    let (arrival, past) = fields.arrival();
     let now = hub.now();
     let (entry, lane) = hub.book.want(now, key, arrival, born_after, now + wait * 1_000);
     let waiting = match entry {
         Entry::Join(waiting) => waiting,
         Entry::Lead(id, waiting) => {
-            let (flight, path, via) = (waiting.flight.clone(), request.path.clone(), asked.via.clone());
+            let (flight, path, via) = (waiting.flight.clone(), request.path.clone(), fields.via.clone());
             let fill = Fill { id, key, path, via, way, lane, born_after, past, flight };
             match hub.held(key, born_after) {
                 // Guards against a second fetch for what came between the look at the copies and the ledger.
@@ -165,5 +167,5 @@
             return reply.refuse("503 Service Unavailable", "connection_limit_reached", "");
         }
     };
-    wait_for(&reply, asked, &waiting, until)
+    wait_for(&reply, fields, &waiting, until)
 }
--- a/hub/src/wait.rs
+++ b/hub/src/wait.rs
@@ -1,9 +1,9 @@
 //! Waits for a fetch that is under way, and passes its bytes on as they come.
 
-use crate::asked::Asked;
 use crate::book::Waiting;
 use crate::flight::{Cursor, Look, Verdict};
 use crate::reply::{broken_off, Reply, What, SLOW};
+use crate::request_fields::RequestFields;
 use crate::tally::add;
 use foldmux_http1::io::write_all;
 use std::io::ErrorKind;
@@ -14,7 +14,7 @@
 const LOOK: Duration = Duration::from_millis(50);
 
 /// Passes a fetch's bytes on as they come. The place in the ledger is given back when `waiting` is dropped.
-pub(crate) fn wait_for(reply: &Reply, asked: &Asked, waiting: &Waiting, until: Instant) -> bool {
+pub(crate) fn wait_for(reply: &Reply, fields: &RequestFields, waiting: &Waiting, until: Instant) -> bool {
     let hub = reply.hub;
     let (mut cursor, mut wanted, mut begun) = (Cursor::default(), None, false);
     let mut at = 0;
@@ -24,7 +24,7 @@
         match waiting.flight.look(&mut cursor, end.min(Instant::now() + LOOK)) {
             Look::Head(meta) => {
                 begun = true;
-                let what = What::of(asked, &meta);
+                let what = What::of(fields, &meta);
                 let body = match what.head(reply, &meta) {
                     Ok(body) => body,
                     Err(_) => return broken_off(hub),
--- a/hub/src/pass.rs
+++ b/hub/src/writes.rs
@@ -1,8 +1,8 @@
 //! Writes: passed on, once.
 
-use crate::asked::Asked;
 use crate::exchange::PART_MOST;
 use crate::reply::{broken_off, Reply};
+use crate::request_fields::RequestFields;
 use crate::tally::add;
 use foldmux_hierarchy::way::Way;
 use foldmux_http1::io::{read_some, write_all};
@@ -17,7 +17,7 @@
 pub(crate) fn pass_on(
     reply: &Reply,
     request: &Request,
-    asked: &Asked,
+    fields: &RequestFields,
     way: &Way,
     object: u64,
     until: Instant,
@@ -51,10 +51,10 @@
     let _ = write!(head, "Host: {address}\r\nContent-Length: {}\r\n", body.len());
     let _ = write!(head, "Via-Wait: {}\r\n", left(Instant::now()).as_millis().max(1));
     let _ = write!(head, "CDN-Loop: {}\r\nHub-Tree: {};solo\r\n", way.with(&hub.signer, object), stamp);
-    if !asked.via.is_empty() {
-        let _ = write!(head, "Via-Id: {}\r\n", asked.via);
+    if !fields.via.is_empty() {
+        let _ = write!(head, "Via-Id: {}\r\n", fields.via);
     }
-    if let Some(token) = &asked.token {
+    if let Some(token) = &fields.token {
         let _ = write!(head, "Via-Token: {token}\r\n");
     }
     head.push_str("Connection: close\r\n\r\n");
