--- a/pure/figures/src/lib.rs
+++ b/pure/figures/src/lib.rs
@@ -4,8 +4,8 @@
 //! threads, or draw chance other than from a seed passed in. It depends on no other crate of the workspace. What it keeps
 //! is bounded by its caller's `most`.
 
-pub mod chance;
-pub mod lately;
+pub mod random;
+pub mod rates;
 
-pub use chance::{mix, rank, Draws};
-pub use lately::{mean, Heard, Rate, Recent, Time};
+pub use random::{mix, rank, Draws};
+pub use rates::{mean, Heard, Rate, Recent, Time};
