Name a pool's seat a replica in the fair queue's crate

Public fields that the proxy sets, and the names of planted faults, stay. What a replica says is documented.

--- a/pure/fair/src/division.rs
+++ b/pure/fair/src/division.rs
@@ -1,7 +1,7 @@
 //! How many of a pool's slots each process should hold: by what tenants want there. Tenants share by weight, none gets more
 //! than it wants (max-min fair), and a process gets its tenants' parts in proportion to what they want there.
 //!
-//! Every process works this out for itself from the digests that it has; where they differ the seats' leases still bound
+//! Every process works this out for itself from the digests that it has; where they differ the replicas' leases still bound
 //! the sum. Each process with work keeps [`floor`], whatever another says that it wants.
 
 use crate::digest::Process;
--- a/pure/fair/src/holder.rs
+++ b/pure/fair/src/holder.rs
@@ -1,4 +1,4 @@
-//! A holder's side: which slots this process has claimed, which two of three seats granted, and until when on its own
+//! A holder's side: which slots this process has claimed, which two of three replicas granted, and until when on its own
 //! clock.
 
 use crate::message::Word;
@@ -10,9 +10,9 @@
 
 /// Claims that are out; an older one is given up.
 const CLAIMS: usize = 32;
-/// A claim for more is undecided for so long at the most (us): then what single seats granted of it is given back.
+/// A claim for more is undecided for so long at the most (us): then what single replicas granted of it is given back.
 const PATIENCE: Time = 200_000;
-/// Between two questions for more (us), where no seat speaks up.
+/// Between two questions for more (us), where no replica speaks up.
 const ASK_AGAIN: Time = 50_000;
 
 #[derive(Clone, Copy, Debug)]
@@ -38,11 +38,11 @@
     number: u64,
     own: BTreeMap<u16, Own>,
     claims: BTreeMap<u64, Claim>,
-    /// Slots that seats said are vacant.
+    /// Slots that replicas said are vacant.
     offered: BTreeSet<u16>,
     renewed: Time,
     asked: Option<Time>,
-    /// The seats deal vacant slots to this process, until it says that it wants none.
+    /// The replicas deal vacant slots to this process, until it says that it wants none.
     dealt: bool,
 }
 
@@ -80,7 +80,7 @@
         self.number
     }
 
-    /// What goes to each seat. `short`: so many more are wanted.
+    /// What goes to each replica. `short`: so many more are wanted.
     pub fn step(&mut self, now: Time, seats: &Change, short: usize) -> Vec<Word> {
         self.own.retain(|_, own| now < own.until);
         let mut words = Vec::new();
@@ -121,7 +121,7 @@
         words
     }
 
-    /// A claim counts no more; what single seats granted of it, and was not won, is free.
+    /// A claim counts no more; what single replicas granted of it, and was not won, is free.
     fn give_up(&mut self, number: u64) -> Option<Word> {
         let claim = self.claims.remove(&number)?;
         let slots: Vec<u16> = claim.fresh.into_iter().filter(|slot| !self.own.contains_key(slot)).collect();
@@ -138,7 +138,7 @@
         (!slots.is_empty()).then(|| Word::Free { life, number: self.number(), slots })
     }
 
-    /// A seat's answer: what is held by it, and what goes to each seat.
+    /// A replica's answer: what is held by it, and what goes to each replica.
     pub fn granted(
         &mut self,
         now: Time,
--- a/pure/fair/src/lib.rs
+++ b/pure/fair/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Owns: the order among tenants by start-time fair queueing, charged by slot time ([`queue`], [`lanes`]), who a tenant is
 //! and what it weighs ([`tenants`]), what is slow ([`slow`]), what is refused at once ([`refuse`]); for the fleet, the
-//! numbered slots of a pool held by lease at three seats ([`slots`], [`seat`], [`holder`]), how they are divided
+//! numbered slots of a pool held by lease at three replicas ([`slots`], [`replica`], [`holder`]), how they are divided
 //! ([`division`]), what the processes tell each other of use and want ([`digest`]), and the slots as the process that
 //! holds them uses them ([`stock`]).
 //!
@@ -21,7 +21,7 @@
 mod pool;
 pub mod queue;
 pub mod refuse;
-pub mod seat;
+pub mod replica;
 pub mod slots;
 pub mod slow;
 pub mod stock;
--- a/pure/fair/src/message.rs
+++ b/pure/fair/src/message.rs
@@ -10,14 +10,14 @@
 
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Word {
-    /// To a seat: these slots for one lease, from a life of the sender's, numbered; and so many more are wanted.
+    /// To a replica: these slots for one lease, from a life of the sender's, numbered; and so many more are wanted.
     Claim {
         life: u64,
         number: u64,
         slots: Vec<u16>,
         more: u16,
     },
-    /// From a seat, to that claim: granted, refused; and some that are vacant, for who wants more.
+    /// From a replica, to that claim: granted, refused; and some that are vacant, for who wants more.
     Granted {
         life: u64,
         number: u64,
@@ -25,13 +25,13 @@
         refused: Vec<u16>,
         vacant: Vec<u16>,
     },
-    /// To a seat: not held any more, nor claimed by anything numbered lower.
+    /// To a replica: not held any more, nor claimed by anything numbered lower.
     Free {
         life: u64,
         number: u64,
         slots: Vec<u16>,
     },
-    /// From a seat, to one who wanted more.
+    /// From a replica, to one who wanted more.
     Vacant {
         slots: Vec<u16>,
     },
--- a/pure/fair/src/pool.rs
+++ b/pure/fair/src/pool.rs
@@ -1,10 +1,10 @@
-//! One pool at one process, on the fleet's side: its seat's and its holder's books, what was heard of others, its part.
+//! One pool at one process, on the fleet's side: its replica's and its holder's books, what was heard of others, its part.
 
 use crate::digest::{Digest, Heard, Process, Use};
 use crate::division::{targets, wants};
 use crate::holder::{Holder, Won};
 use crate::message::{Message, PoolKey, Told, Word};
-use crate::seat::Seat;
+use crate::replica::Replica;
 use crate::slots::FleetSlots;
 use crate::{Peer, Time};
 use foldmux_seats::{Acts, Change, Do, Drift};
@@ -30,7 +30,7 @@
 #[derive(Debug)]
 pub(crate) struct Pool {
     pub setup: PoolSetup,
-    pub seat: Seat,
+    pub replica: Replica,
     pub holder: Holder,
     pub heard: Heard,
     pub uses: Vec<Use>,
@@ -52,7 +52,7 @@
 impl Pool {
     pub fn new(now: Time, life: u64, drift: Drift, setup: PoolSetup) -> Pool {
         Pool {
-            seat: Seat::new(now, setup.slots, setup.lease, drift),
+            replica: Replica::new(now, setup.slots, setup.lease, drift),
             holder: Holder::new(life, setup.key, setup.lease, drift),
             heard: Heard::default(),
             uses: Vec::new(),
@@ -68,10 +68,10 @@
         }
     }
 
-    /// To those who want more, what is vacant at this seat.
+    /// To those who want more, what is vacant at this replica.
     pub fn offer(&mut self, now: Time, out: &mut Acts<FleetSlots>) {
-        if self.seat.wanted() {
-            for (to, slots) in self.seat.offers(now) {
+        if self.replica.wanted() {
+            for (to, slots) in self.replica.offers(now) {
                 let message = Message { pool: self.setup.key, word: Word::Vacant { slots } };
                 out.push(Do::Send { to, message });
             }
--- a/pure/fair/src/seat.rs
+++ b/pure/fair/src/replica.rs
@@ -1,4 +1,4 @@
-//! A seat's side: which slots it has granted to whom, and until when on its own clock.
+//! A replica's side: which slots it has granted to whom, and until when on its own clock.
 
 use crate::division::floor;
 use crate::planted::{planted, Fault};
@@ -20,30 +20,34 @@
     granted: Granted,
 }
 
+/// This process as a replica of one pool's slots.
 #[derive(Debug)]
-pub struct Seat {
+pub struct Replica {
     lease: Time,
     memory: Memory,
     slots: Vec<Option<Lease>>,
     wanting: BTreeMap<Peer, Time>,
 }
 
-/// What a seat says to a claim.
+/// What a replica says to a claim.
 #[derive(Debug, Default, PartialEq)]
 pub struct Said {
+    /// Slots leased to the claim.
     pub granted: Vec<u16>,
+    /// Slots of the claim that it does not lease.
     pub refused: Vec<u16>,
+    /// Slots that nobody holds, for a claim of more.
     pub vacant: Vec<u16>,
 }
 
-impl Seat {
-    /// A seat that starts remembers nothing: it grants once all that it may have granted is over.
-    pub fn new(now: Time, slots: u16, lease: Time, drift: Drift) -> Seat {
+impl Replica {
+    /// A replica that starts remembers nothing: it grants once all that it may have granted is over.
+    pub fn new(now: Time, slots: u16, lease: Time, drift: Drift) -> Replica {
         let memory = match planted(Fault::FreshSeatGrants) {
             true => Memory::whole(now),
             false => Memory::fresh(now, &[lease], drift),
         };
-        Seat { lease, memory, slots: vec![None; slots as usize], wanting: BTreeMap::new() }
+        Replica { lease, memory, slots: vec![None; slots as usize], wanting: BTreeMap::new() }
     }
 
     fn running(&self, now: Time) -> impl Iterator<Item = &Lease> {
--- a/pure/fair/src/slots.rs
+++ b/pure/fair/src/slots.rs
@@ -1,8 +1,8 @@
-//! The fleet's side of a pool: its numbered slots, each held by one process at a time, by lease at the pool's three seats.
+//! The fleet's side of a pool: its numbered slots, each held by one process at a time, by lease at the pool's three replicas.
 //!
-//! A slot is held while two of three seats lease it to this process, by this process's own, shorter count: no two ever hold
-//! one number, so the sum never passes the cap. Who is cut off from the seats has fewer by each lease that runs out, and then
-//! none. A life of a process that ended keeps its slots for one lease, and they come back once: at the seats, by their clocks.
+//! A slot is held while two of three replicas lease it to this process, by this process's own, shorter count: no two ever hold
+//! one number, so the sum never passes the cap. Who is cut off from the replicas has fewer by each lease that runs out, and then
+//! none. A life of a process that ended keeps its slots for one lease, and they come back once: at the replicas, by their clocks.
 //! Idle ones are lent: a process keeps what it holds until another is short of its part, then gives back what it has over
 //! its own ([`crate::division`]), idle ones at once and those in use as they end.
 
@@ -47,7 +47,7 @@
         FleetSlots { own, peers, seats, pools, due: now }
     }
 
-    /// A change of the list of seats is asked by both lists for one window.
+    /// A change of the list of replicas is asked by both lists for one window.
     pub fn seats(&mut self) -> &mut Change {
         &mut self.seats
     }
@@ -105,13 +105,13 @@
         let Some(pool) = self.pools.get_mut(&key) else { return };
         match word {
             Word::Claim { life, number, slots, more } if sits => {
-                let said = pool.seat.claim(now, from, (life, number), &slots, more);
+                let said = pool.replica.claim(now, from, (life, number), &slots, more);
                 let (slots, refused, vacant) = (said.granted, said.refused, said.vacant);
                 let word = Word::Granted { life, number, slots, refused, vacant };
                 out.push(Do::Send { to: from.clone(), message: Message { pool: key, word } });
             }
             Word::Free { life, number, slots } if sits => {
-                pool.seat.free(from, (life, number), &slots);
+                pool.replica.free(from, (life, number), &slots);
                 pool.offer(now, out);
             }
             Word::Granted { life, number, slots, refused, vacant } if life == pool.holder.life => {
