Name the admission filter of members and foca's effects by the usual terms

Both are private to the crate.

Run: clippy of the crate, and its tests (16 of 16; the planted faults, behind their feature, not run).

--- a/pure/members/src/door.rs
+++ b/pure/members/src/admission.rs
@@ -18,16 +18,16 @@
 }
 
 /// The names that foca may know of, at most so many.
-pub(crate) struct Door {
+pub(crate) struct Admission {
     most: usize,
     names: BTreeSet<Peer>,
     /// Those that the packet at hand brought.
     fresh: Vec<Peer>,
 }
 
-impl Door {
-    pub fn new(most: usize) -> Door {
-        Door { most, names: BTreeSet::new(), fresh: Vec::new() }
+impl Admission {
+    pub fn new(most: usize) -> Admission {
+        Admission { most, names: BTreeSet::new(), fresh: Vec::new() }
     }
 
     pub fn most(&self) -> usize {
--- a/pure/members/src/lib.rs
+++ b/pure/members/src/lib.rs
@@ -8,7 +8,7 @@
 //! tells is a hint where to turn: two processes may be told unlike things, so that who may speak for the
 //! fleet is decided by seats, never by members.
 
-mod door;
+mod admission;
 mod members;
 mod pace;
 #[cfg(feature = "planted")]
@@ -17,7 +17,7 @@
 mod told;
 mod who;
 
-pub use door::Refused;
+pub use admission::Refused;
 pub use members::{Counts, Members, Setup};
 pub use pace::{Pace, PACKET};
 pub use told::{Seen, State, Told};
--- a/pure/members/src/members.rs
+++ b/pure/members/src/members.rs
@@ -1,6 +1,6 @@
 //! The part: foca, its timers and its chance, driven by messages, asks and time.
 
-use crate::door::Door;
+use crate::admission::Admission;
 use crate::timers::Timers;
 use crate::told::Seen;
 use crate::who::Who;
@@ -11,7 +11,7 @@
 use std::collections::BTreeMap;
 use std::num::NonZeroUsize;
 
-mod news;
+mod effects;
 mod part;
 
 /// What a process has to say of itself and of its fleet.
@@ -42,7 +42,7 @@
     foca: Swim,
     runtime: AccumulatingRuntime<Who>,
     timers: Timers,
-    door: Door,
+    admission: Admission,
     pace: Pace,
     rng: SmallRng,
     contacts: Vec<Peer>,
@@ -74,7 +74,7 @@
             foca: swim(setup.me, setup.pace, &mut rng),
             runtime: AccumulatingRuntime::new(),
             timers: Timers::default(),
-            door: Door::new(setup.most),
+            admission: Admission::new(setup.most),
             pace: setup.pace,
             rng,
             contacts: Vec::new(),
--- a/pure/members/src/members/news.rs
+++ b/pure/members/src/members/effects.rs
@@ -10,8 +10,8 @@
 impl Members {
     /// What foca wants done, until it wants nothing more.
     pub(super) fn flush(&mut self, now: Time, out: &mut Acts<Members>) {
-        while let Some(news) = self.runtime.to_notify() {
-            self.news(news, out);
+        while let Some(notification) = self.runtime.to_notify() {
+            self.notified(notification, out);
         }
         while let Some((to, data)) = self.runtime.to_send() {
             out.push(Do::Send { to: to.name, message: Packet(data.to_vec()) });
@@ -22,8 +22,8 @@
         }
     }
 
-    fn news(&mut self, news: OwnedNotification<Who>, out: &mut Acts<Members>) {
-        match news {
+    fn notified(&mut self, notification: OwnedNotification<Who>, out: &mut Acts<Members>) {
+        match notification {
             OwnedNotification::Rename(_, new) if new.left => self.left(new, out),
             OwnedNotification::MemberUp(new) if new.left => self.left(new, out),
             OwnedNotification::MemberUp(new) => self.came(new, out),
--- a/pure/members/src/members/part.rs
+++ b/pure/members/src/members/part.rs
@@ -1,7 +1,7 @@
 //! Members as a part: what is heard, asked and due.
 
 use super::{swim, Members};
-use crate::door::Refused;
+use crate::admission::Refused;
 use crate::told::{Seen, Told};
 use crate::{Ask, Packet};
 use foca::Member;
@@ -17,7 +17,7 @@
             return;
         }
         let known = || self.foca.iter_membership_state().map(|member| member.id().name.clone()).collect();
-        match self.door.admit(self.foca.identity(), from, &message, known) {
+        match self.admission.admit(self.foca.identity(), from, &message, known) {
             Ok((packet, rival)) => {
                 if let Some(rival) = rival.filter(|rival| self.rival != Some(rival.born)) {
                     self.rival = Some(rival.born);
@@ -42,7 +42,7 @@
                 }
                 let me = self.me().name.clone();
                 self.contacts =
-                    contacts.into_iter().filter(|peer| *peer != me).take(self.door.most()).collect();
+                    contacts.into_iter().filter(|peer| *peer != me).take(self.admission.most()).collect();
                 self.join_at = Some(now.saturating_add(self.pace.join()));
                 self.announce();
             }
