--- a/shared/peers/src/hello.rs
+++ b/shared/peers/src/hello.rs
@@ -3,7 +3,7 @@
 //! are in any version, so that two of them can tell each other.
 
 use crate::frame::{self, End, Envelope, LinkKey, Way};
-use crate::wire::{self, Ear};
+use crate::wire::{self, DeadlineReader};
 use crate::{Config, Session};
 use foldmux_seats::Peer;
 use serde::{Deserialize, Serialize};
@@ -85,50 +85,50 @@
         Ok(Hello { name: self.config.name.clone(), to, session: self.session, nonce })
     }
 
-    pub fn dial(&self, stream: &TcpStream, ear: &mut Ear, to: &Peer) -> Result<Begun, Refused> {
+    pub fn dial(&self, stream: &TcpStream, reader: &mut DeadlineReader, to: &Peer) -> Result<Begun, Refused> {
         let own = encode(&self.hello(to.clone())?, VERSION);
-        wire::write(stream, &own, ear.get_ref().until).map_err(|_| Refused::Stranger)?;
-        let (hello, theirs) = read(ear)?;
+        wire::write(stream, &own, reader.get_ref().until).map_err(|_| Refused::Stranger)?;
+        let (hello, theirs) = read(reader)?;
         if hello.name != *to || hello.to != self.config.name {
             return Err(Refused::Stranger);
         }
         let key = LinkKey::new(&self.config.key, &own, &theirs);
-        begin(stream, ear, hello, key, (End::Dialler, End::Acceptor))
+        begin(stream, reader, hello, key, (End::Dialler, End::Acceptor))
     }
 
-    pub fn accept(&self, stream: &TcpStream, ear: &mut Ear) -> Result<Begun, Refused> {
-        let heard = read(ear);
+    pub fn accept(&self, stream: &TcpStream, reader: &mut DeadlineReader) -> Result<Begun, Refused> {
+        let heard = read(reader);
         // One of another version is told this one, by the name that nobody has.
         let to = heard.as_ref().map_or_else(|_| Peer::new(""), |(hello, _)| hello.name.clone());
         if heard == Err(Refused::Stranger) {
             return Err(Refused::Stranger);
         }
         let own = encode(&self.hello(to)?, VERSION);
-        wire::write(stream, &own, ear.get_ref().until).map_err(|_| Refused::Stranger)?;
+        wire::write(stream, &own, reader.get_ref().until).map_err(|_| Refused::Stranger)?;
         let (hello, theirs) = heard?;
         let known = |(name, _): &(Peer, _)| *name == hello.name && hello.name != self.config.name;
         if hello.to != self.config.name || !self.config.peers.iter().any(known) {
             return Err(Refused::Stranger);
         }
         let key = LinkKey::new(&self.config.key, &theirs, &own);
-        begin(stream, ear, hello, key, (End::Acceptor, End::Dialler))
+        begin(stream, reader, hello, key, (End::Acceptor, End::Dialler))
     }
 }
 
 /// Each end shows that it has the key. Nothing of a peer changes before.
 fn begin(
     stream: &TcpStream,
-    ear: &mut Ear,
+    reader: &mut DeadlineReader,
     hello: Hello,
     key: LinkKey,
     (own, other): (End, End),
 ) -> Result<Begun, Refused> {
     let (mut says, mut hears) = (Way::of(key.clone(), own), Way::of(key, other));
-    let until: Instant = ear.get_ref().until;
+    let until: Instant = reader.get_ref().until;
     let mut bytes = Vec::new();
     says.seal(&Envelope::Beat, &mut bytes);
     wire::write(stream, &bytes, until).map_err(|_| Refused::Stranger)?;
-    frame::read(ear, 0, &mut bytes).map_err(|_| Refused::Stranger)?;
+    frame::read(reader, 0, &mut bytes).map_err(|_| Refused::Stranger)?;
     match hears.open(&bytes) {
         Ok(Envelope::Beat) => Ok(Begun { hello, says, hears }),
         _ => Err(Refused::Stranger),
--- a/shared/peers/src/link.rs
+++ b/shared/peers/src/link.rs
@@ -1,7 +1,7 @@
 //! One link: a queue with the thread that writes it, and a window with the thread that reads.
 
 use crate::frame::{self, Envelope, Way};
-use crate::wire::{self, Ear};
+use crate::wire::{self, DeadlineReader};
 use crate::{Bounds, Counts, Incoming, Session};
 use crossbeam_channel::{SendTimeoutError, Sender};
 use foldmux_seats::Peer;
@@ -151,15 +151,15 @@
     /// Reads frames and hands them over, until the link ends.
     pub fn read(
         self: &Arc<Link>,
-        mut ear: Ear,
+        mut reader: DeadlineReader,
         mut hears: Way,
         bounds: &Bounds,
         (counts, incoming): (&Counts, &Sender<Incoming>),
     ) {
         let mut frame = Vec::new();
         while self.wait_for_room(bounds.window) {
-            ear.get_mut().until = Instant::now() + bounds.idle;
-            if let Err(e) = frame::read(&mut ear, bounds.frame, &mut frame) {
+            reader.get_mut().until = Instant::now() + bounds.idle;
+            if let Err(e) = frame::read(&mut reader, bounds.frame, &mut frame) {
                 if e.kind() == io::ErrorKind::InvalidData {
                     counts.broken.one();
                 }
--- a/shared/peers/src/links.rs
+++ b/shared/peers/src/links.rs
@@ -5,7 +5,7 @@
 use crate::hello::{Begun, Own, Refused};
 use crate::link::Link;
 use crate::live::Live;
-use crate::wire::{self, Ear};
+use crate::wire::{self, DeadlineReader};
 use crate::{Config, Counts, Incoming, Session};
 use crossbeam_channel::Sender;
 use foldmux_seats::Peer;
@@ -174,7 +174,7 @@
         let place = Place(self.clone());
         let _ = self.spawn("fleet-link", move || {
             let shared = &place.0;
-            if shared.one(stream, |own, stream, ear| own.accept(stream, ear), false).is_none() {
+            if shared.one(stream, |own, stream, reader| own.accept(stream, reader), false).is_none() {
                 shared.counts.strangers.one();
             }
         });
@@ -187,7 +187,7 @@
         let mut most = first;
         while self.live.wait_for_none(peer) {
             let dialled = TcpStream::connect_timeout(address, self.config.bounds.dial).ok();
-            let lasted = dialled.and_then(|s| self.one(s, |own, s, ear| own.dial(s, ear, peer), true));
+            let lasted = dialled.and_then(|s| self.one(s, |own, s, reader| own.dial(s, reader, peer), true));
             // One that lasted begins anew; any other doubles the range that its wait is drawn from.
             match lasted {
                 Some(lasted) if lasted > self.config.bounds.idle => most = first,
@@ -207,14 +207,14 @@
     fn one(
         self: &Arc<Shared>,
         stream: TcpStream,
-        hello: impl FnOnce(&Own, &TcpStream, &mut Ear) -> Result<Begun, Refused>,
+        hello: impl FnOnce(&Own, &TcpStream, &mut DeadlineReader) -> Result<Begun, Refused>,
         dialled: bool,
     ) -> Option<Duration> {
         let bounds = &self.config.bounds;
         stream.set_nonblocking(false).and_then(|()| stream.set_nodelay(true)).ok()?;
-        let mut ear = wire::ear(stream.try_clone().ok()?, Instant::now() + bounds.hello);
+        let mut reader = wire::deadline_reader(stream.try_clone().ok()?, Instant::now() + bounds.hello);
         let own = Own { config: &self.config, session: self.session };
-        let begun = hello(&own, &stream, &mut ear);
+        let begun = hello(&own, &stream, &mut reader);
         if begun.as_ref().err() == Some(&Refused::Version) {
             self.counts.versions.one();
         }
@@ -225,16 +225,16 @@
         }
         let up = Instant::now();
         self.counts.links.one();
-        self.run(&link, ear, says, hears);
+        self.run(&link, reader, says, hears);
         self.live.leave(&link);
         Some(up.elapsed())
     }
 
-    fn run(self: &Arc<Shared>, link: &Arc<Link>, ear: Ear, says: Way, hears: Way) {
+    fn run(self: &Arc<Shared>, link: &Arc<Link>, reader: DeadlineReader, says: Way, hears: Way) {
         let (writing, shared) = (link.clone(), self.clone());
         let write = move || writing.write(says, &shared.config.bounds);
         if self.spawn("fleet-write", write).is_ok() {
-            link.read(ear, hears, &self.config.bounds, (&self.counts, &self.incoming));
+            link.read(reader, hears, &self.config.bounds, (&self.counts, &self.incoming));
         }
         link.end();
     }
--- a/shared/peers/src/wire.rs
+++ b/shared/peers/src/wire.rs
@@ -7,18 +7,22 @@
 /// The socket gives at most so much at once.
 const READ: usize = 16 * 1024;
 
-pub struct Timed {
+/// A socket whose reads fail once a moment has passed.
+pub struct DeadlineStream {
     stream: TcpStream,
+    /// The moment; whoever reads may put it off.
     pub until: Instant,
 }
 
-pub type Ear = BufReader<Timed>;
+/// Such a socket, read through a buffer.
+pub type DeadlineReader = BufReader<DeadlineStream>;
 
-pub fn ear(stream: TcpStream, until: Instant) -> Ear {
-    BufReader::with_capacity(READ, Timed { stream, until })
+/// Reads `stream` until that moment.
+pub fn deadline_reader(stream: TcpStream, until: Instant) -> DeadlineReader {
+    BufReader::with_capacity(READ, DeadlineStream { stream, until })
 }
 
-impl Read for Timed {
+impl Read for DeadlineStream {
     fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
         self.stream.set_read_timeout(Some(left(self.until)?))?;
         self.stream.read(buffer)
--- a/shared/peers/tests/common/mod.rs
+++ b/shared/peers/tests/common/mod.rs
@@ -73,17 +73,17 @@
     pub stream: TcpStream,
     pub says: Way,
     pub hears: Way,
-    pub ear: wire::Ear,
+    pub reader: wire::DeadlineReader,
 }
 
 pub fn dial(n: usize, to: usize, all: &[SocketAddr], key: [u8; 32], began: u64) -> Option<Hand> {
     let mut config = config(n, all);
     config.key = key;
     let stream = TcpStream::connect(all[to]).unwrap();
-    let mut ear = wire::ear(stream.try_clone().unwrap(), Instant::now() + LONG);
+    let mut reader = wire::deadline_reader(stream.try_clone().unwrap(), Instant::now() + LONG);
     let own = Own { config: &config, session: Session { began, nonce: 5 } };
-    let begun = own.dial(&stream, &mut ear, &peer(to)).ok()?;
-    Some(Hand { stream, says: begun.says, hears: begun.hears, ear })
+    let begun = own.dial(&stream, &mut reader, &peer(to)).ok()?;
+    Some(Hand { stream, says: begun.says, hears: begun.hears, reader })
 }
 
 impl Hand {
--- a/shared/peers/tests/hostile.rs
+++ b/shared/peers/tests/hostile.rs
@@ -37,8 +37,8 @@
     let mut stream = TcpStream::connect(all[0]).unwrap();
     stream.write_all(&hello::encode(&hello(1, 0), hello::VERSION + 1)).unwrap();
     // It is told the version that it met.
-    let mut ear = wire::ear(stream.try_clone().unwrap(), Instant::now() + LONG);
-    assert_eq!(hello::read(&mut ear).map(|(hello, _)| hello.name), Ok(peer(0)));
+    let mut reader = wire::deadline_reader(stream.try_clone().unwrap(), Instant::now() + LONG);
+    assert_eq!(hello::read(&mut reader).map(|(hello, _)| hello.name), Ok(peer(0)));
     assert!(closed(&stream));
     assert_eq!(links.counts().versions.get(), 1);
 
--- a/shared/peers/tests/links.rs
+++ b/shared/peers/tests/links.rs
@@ -124,7 +124,7 @@
     assert!(a.send(&peer(1), 6, b"to the newer".to_vec()));
     let mut bytes = Vec::new();
     loop {
-        foldmux_peers::frame::read(&mut newer.ear, 100, &mut bytes).unwrap();
+        foldmux_peers::frame::read(&mut newer.reader, 100, &mut bytes).unwrap();
         if let foldmux_peers::frame::Envelope::Message { bytes, .. } = newer.hears.open(&bytes).unwrap() {
             assert_eq!(bytes, b"to the newer");
             break;
