--- a/pure/relay/src/asks.rs
+++ b/pure/relay/src/asks.rs
@@ -2,7 +2,7 @@
 
 use crate::part::{Level, Relay};
 use crate::readers::Reader;
-use crate::words::{Ask, Refused, Told};
+use crate::types::{Ask, Refused, Told};
 use foldmux_seats::Time;
 
 impl Relay {
@@ -55,13 +55,13 @@
                 let wait = self.shared.setup.hold;
                 let Level { follower, role, .. } = self.flows[f].levels.first_mut()?;
                 role.unfed |= role.open();
-                role.step_aside(now, wait, &follower.line, &mut self.shared);
+                role.step_aside(now, wait, &follower.candidates, &mut self.shared);
                 Some(f)
             }
             Ask::Leave => {
                 self.shared.leaving = true;
                 for level in self.flows.iter_mut().flat_map(|flow| &mut flow.levels) {
-                    level.role.step_aside(now, 0, &level.follower.line, &mut self.shared);
+                    level.role.step_aside(now, 0, &level.follower.candidates, &mut self.shared);
                 }
                 None
             }
--- a/pure/relay/src/context.rs
+++ b/pure/relay/src/context.rs
@@ -1,7 +1,7 @@
 //! What the pieces of the part need of it while one thing is dealt with.
 
 use crate::messages::Message;
-use crate::words::{Setup, Stream, Told};
+use crate::types::{Setup, Stream, Told};
 use foldmux_seats::{Do, Peer, Time};
 use rand::rngs::Xoshiro256PlusPlus;
 use rand::{RngExt, SeedableRng};
--- a/pure/relay/src/who.rs
+++ b/pure/relay/src/election.rs
@@ -2,24 +2,24 @@
 //! seem alive tries for it. Seats only break ties: readers keep their own places, so that two relays cost a stream at
 //! the source and no promise.
 
-use crate::words::Branch;
+use crate::types::Branch;
 use foldmux_seats::{order, Drift, Granted, Held, Memory, Peer, Seats, Time, Votes};
 use std::collections::BTreeMap;
 
-/// The line of a branch: who may relay it, next first, and who is passed over for now.
-pub struct Line {
-    line: Vec<Peer>,
+/// Who may relay a branch, next first, and who is passed over for now.
+pub struct Candidates {
+    ranked: Vec<Peer>,
     shunned: BTreeMap<Peer, Time>,
 }
 
-impl Line {
-    pub fn new<'a>(branch: &Branch, peers: impl IntoIterator<Item = &'a Peer>) -> Line {
-        let line = order::of(&branch.key(), peers).into_iter().cloned().collect();
-        Line { line, shunned: BTreeMap::new() }
+impl Candidates {
+    pub fn new<'a>(branch: &Branch, peers: impl IntoIterator<Item = &'a Peer>) -> Candidates {
+        let ranked = order::of(&branch.key(), peers).into_iter().cloned().collect();
+        Candidates { ranked, shunned: BTreeMap::new() }
     }
 
     pub fn has(&self, peer: &Peer) -> bool {
-        self.line.contains(peer)
+        self.ranked.contains(peer)
     }
 
     /// Passes over a peer until then. Only those in line are remembered, so that this is bounded.
@@ -35,7 +35,7 @@
     }
 
     pub fn rank(&self, peer: &Peer) -> usize {
-        self.line.iter().position(|own| own == peer).unwrap_or(usize::MAX)
+        self.ranked.iter().position(|own| own == peer).unwrap_or(usize::MAX)
     }
 
     /// The first that is not passed over, not among `but`, and seems alive.
@@ -43,7 +43,7 @@
         let fits = |peer: &&Peer| {
             !self.shunned(now, peer) && !dead.contains_key(*peer) && !but.iter().any(|other| other == peer)
         };
-        self.line.iter().find(fits)
+        self.ranked.iter().find(fits)
     }
 }
 
--- a/pure/relay/src/flow.rs
+++ b/pure/relay/src/flow.rs
@@ -3,7 +3,7 @@
 
 use crate::part::{Level, Relay};
 use crate::readers::Run;
-use crate::words::{Ended, Event, Told};
+use crate::types::{Ended, Event, Told};
 use foldmux_seats::{Peer, Time};
 
 impl Relay {
--- a/pure/relay/src/follow.rs
+++ b/pure/relay/src/follow.rs
@@ -2,13 +2,13 @@
 //! one relay at a time; a second is tried while the first may still speak, and whoever speaks first is kept.
 
 use crate::context::{beat, Shared};
+use crate::election::Candidates;
 use crate::messages::Message;
 use crate::planted::{planted, Fault};
 use crate::readers::Reader;
 use crate::ring::Ring;
 use crate::source::Source;
-use crate::who::Line;
-use crate::words::{Branch, Event, Place, Slow, Stream, Told};
+use crate::types::{Branch, Event, Place, Slow, Stream, Told};
 use foldmux_seats::{Peer, Time};
 
 /// A subscription at a relay.
@@ -28,7 +28,7 @@
 pub struct Follower {
     pub(crate) stream: Stream,
     pub(crate) branch: Branch,
-    pub line: Line,
+    pub candidates: Candidates,
     pub ring: Ring,
     wanted: bool,
     pub(crate) now_by: Option<Link>,
@@ -47,12 +47,12 @@
 }
 
 impl Follower {
-    pub fn new(stream: &Stream, branch: Branch, line: Line) -> Follower {
+    pub fn new(stream: &Stream, branch: Branch, candidates: Candidates) -> Follower {
         Follower {
             ring: Ring::new(stream),
             stream: stream.clone(),
             branch,
-            line,
+            candidates,
             wanted: false,
             now_by: None,
             trial: None,
@@ -118,13 +118,13 @@
 
     pub(crate) fn try_next(&mut self, now: Time, to: Option<Peer>, shared: &mut Shared) {
         if let Some(link) = self.trial.take() {
-            self.line.shun(&link.peer, now + shared.setup.lease);
+            self.candidates.shun(&link.peer, now + shared.setup.lease);
             self.leave(link, shared);
         }
         let silent = self.now_by.as_ref().map(|link| link.peer.clone());
-        let to = to.filter(|to| self.line.has(to) && Some(to) != silent.as_ref());
+        let to = to.filter(|to| self.candidates.has(to) && Some(to) != silent.as_ref());
         let but: Vec<&Peer> = silent.iter().collect();
-        let to = to.or_else(|| self.line.next(now, &shared.dead, &but).cloned());
+        let to = to.or_else(|| self.candidates.next(now, &shared.dead, &but).cloned());
         self.tries += u32::from(self.hops == 0);
         self.hops += 1;
         self.trial = to.map(|to| self.join(now, to, silent, shared));
--- a/pure/relay/src/lease.rs
+++ b/pure/relay/src/lease.rs
@@ -1,10 +1,10 @@
 //! A relay's lease: how it is asked for, when it yields to another, when it steps aside.
 
 use crate::context::Shared;
+use crate::election::{Candidates, Verdict};
 use crate::messages::Message;
 use crate::planted::{planted, Fault};
 use crate::role::Role;
-use crate::who::{Line, Verdict};
 use foldmux_seats::{Peer, Time};
 
 impl Role {
@@ -24,7 +24,7 @@
         from: &Peer,
         asked: u64,
         other: Option<Peer>,
-        line: &Line,
+        candidates: &Candidates,
         shared: &mut Shared,
     ) {
         let Some(claim) = &mut self.claim else {
@@ -43,9 +43,9 @@
                     self.instead.as_ref().is_some_and(|(who, until)| who == other && now < *until)
                 };
                 let same = others.windows(2).all(|pair| pair[0] == pair[1]);
-                let before = line.rank(&shared.setup.me);
-                let yields = |other: &&Peer| !waits(other) && (same || line.rank(other) < before);
-                if let Some(to) = others.iter().filter(yields).min_by_key(|other| line.rank(other)) {
+                let before = candidates.rank(&shared.setup.me);
+                let yields = |other: &&Peer| !waits(other) && (same || candidates.rank(other) < before);
+                if let Some(to) = others.iter().filter(yields).min_by_key(|other| candidates.rank(other)) {
                     self.hand_over(now, Some(to.clone()), shared);
                 }
             }
@@ -70,15 +70,15 @@
         }
     }
 
-    pub fn step_aside(&mut self, now: Time, wait: Time, line: &Line, shared: &mut Shared) {
+    pub fn step_aside(&mut self, now: Time, wait: Time, candidates: &Candidates, shared: &mut Shared) {
         let me = shared.setup.me.clone();
-        let Some(next) = line.next(now, &shared.dead, &[&me]).cloned() else { return };
+        let Some(next) = candidates.next(now, &shared.dead, &[&me]).cloned() else { return };
         self.sits_out = now + wait;
         self.hand_over(now, Some(next), shared);
     }
 
     /// One that it feeds says that it was late. At half of them it steps aside, at most once in `hold`.
-    pub fn was_late(&mut self, now: Time, from: &Peer, line: &Line, shared: &mut Shared) {
+    pub fn was_late(&mut self, now: Time, from: &Peer, candidates: &Candidates, shared: &mut Shared) {
         if !self.nonces.contains_key(from) || self.claim.is_none() {
             return;
         }
@@ -89,7 +89,7 @@
         let all =
             self.late.len() + self.fed.iter().filter(|(peer, _)| !self.late.contains_key(*peer)).count();
         if self.late.len() * 2 >= all && now >= self.since + hold {
-            self.step_aside(now, 5 * hold, line, shared);
+            self.step_aside(now, 5 * hold, candidates, shared);
         }
     }
 }
--- a/pure/relay/src/links.rs
+++ b/pure/relay/src/links.rs
@@ -4,7 +4,7 @@
 use crate::follow::{Follower, Link};
 use crate::messages::Message;
 use crate::planted::{planted, Fault};
-use crate::words::{Event, Told};
+use crate::types::{Event, Told};
 use foldmux_seats::{Peer, Time};
 
 /// How often it goes on to another at a relay's word, until it chooses again itself.
@@ -113,7 +113,7 @@
 
     pub fn elsewhere(&mut self, now: Time, from: &Peer, nonce: u64, to: Option<Peer>, shared: &mut Shared) {
         let speaks = |link: &Link| link.nonce == nonce && link.peer == *from;
-        self.line.shun(from, now + shared.setup.lease);
+        self.candidates.shun(from, now + shared.setup.lease);
         if self.trial.as_ref().is_some_and(speaks) {
             if self.hops < HOPS {
                 self.try_next(now, to, shared);
--- a/pure/relay/src/messages.rs
+++ b/pure/relay/src/messages.rs
@@ -1,6 +1,6 @@
 //! What processes say to each other of a stream.
 
-use crate::words::{Branch, Event, Place};
+use crate::types::{Branch, Event, Place};
 use foldmux_seats::{Peer, Time};
 use serde::{Deserialize, Serialize};
 
--- a/pure/relay/src/next.rs
+++ b/pure/relay/src/next.rs
@@ -2,7 +2,7 @@
 
 use crate::planted::{planted, Fault};
 use crate::ring::{Kept, Ring};
-use crate::words::{Event, First, Item, Place};
+use crate::types::{Event, First, Item, Place};
 use foldmux_seats::Time;
 
 impl Ring {
--- a/pure/relay/src/part.rs
+++ b/pure/relay/src/part.rs
@@ -1,13 +1,13 @@
 //! The part itself: streams, each with its source, its levels from the site inwards, and the readers of this process.
 
 use crate::context::Shared;
+use crate::election::{Candidates, Grants};
 use crate::follow::Follower;
 use crate::messages::Message;
 use crate::readers::Readers;
 use crate::role::Role;
 use crate::source::Source;
-use crate::who::{Grants, Line};
-use crate::words::*;
+use crate::types::*;
 use foldmux_seats::{Acts, Do, Part, Peer, Time};
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -57,8 +57,8 @@
             let place = &own[..depth];
             let branch = Branch { stream: stream.name.clone(), place: joined(place) };
             let inside = setup.places.iter().filter(|(_, other)| other.starts_with(place));
-            let line = Line::new(&branch, inside.map(|(peer, _)| peer));
-            let follower = Follower::new(stream, branch.clone(), line);
+            let candidates = Candidates::new(&branch, inside.map(|(peer, _)| peer));
+            let follower = Follower::new(stream, branch.clone(), candidates);
             Level { role: Role::new(stream, branch.clone(), setup.fed), follower, branch }
         };
         let flow = |stream: &Stream| Flow {
@@ -117,13 +117,13 @@
         match message {
             Message::Claim { .. } | Message::LetGo { .. } => {}
             Message::Granted { asked, other, .. } => {
-                role.granted(now, from, asked, other, &follower.line, shared);
+                role.granted(now, from, asked, other, &follower.candidates, shared);
             }
             Message::Join { nonce, place, late, last, .. } => {
-                role.join(now, from, nonce, place, (late, last), &follower.line, shared);
+                role.join(now, from, nonce, place, (late, last), &follower.candidates, shared);
             }
             Message::Leave { nonce, .. } => role.leave(now, from, nonce),
-            Message::Late { .. } => role.was_late(now, from, &follower.line, shared),
+            Message::Late { .. } => role.was_late(now, from, &follower.candidates, shared),
             Message::Taken { nonce, told, .. } => {
                 if role.taken(now, from, nonce, told, shared) {
                     self.pump_one(now, f, l, from);
--- a/pure/relay/src/readers.rs
+++ b/pure/relay/src/readers.rs
@@ -3,7 +3,7 @@
 
 use crate::planted::{planted, Fault};
 use crate::ring::Ring;
-use crate::words::{Event, Place, Slow};
+use crate::types::{Event, Place, Slow};
 use foldmux_seats::Time;
 use std::collections::BTreeMap;
 
--- a/pure/relay/src/ring.rs
+++ b/pure/relay/src/ring.rs
@@ -2,7 +2,7 @@
 //! follows from its place alone, so that a reader costs a place and no queue.
 
 use crate::planted::{planted, Fault};
-use crate::words::{First, Item, Place, Slow, Stream};
+use crate::types::{First, Item, Place, Slow, Stream};
 use foldmux_seats::Time;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
--- a/pure/relay/src/role.rs
+++ b/pure/relay/src/role.rs
@@ -2,12 +2,12 @@
 //! closes when the last has left.
 
 use crate::context::{beat, Shared};
+use crate::election::{Candidates, Claim};
 use crate::messages::Message;
 use crate::planted::{planted, Fault};
 use crate::readers::{Reader, Readers};
 use crate::ring::Ring;
-use crate::who::{Claim, Line};
-use crate::words::{Branch, Place, Slow, Stream};
+use crate::types::{Branch, Place, Slow, Stream};
 use foldmux_seats::{Peer, Time};
 use std::collections::BTreeMap;
 
@@ -81,15 +81,15 @@
         nonce: u64,
         place: Option<Place>,
         (late, last): (Option<Peer>, bool),
-        line: &Line,
+        candidates: &Candidates,
         shared: &mut Shared,
     ) {
-        if !line.has(from) || self.nonces.get(from).is_some_and(|(own, _)| nonce <= *own) {
+        if !candidates.has(from) || self.nonces.get(from).is_some_and(|(own, _)| nonce <= *own) {
             return;
         }
         let me = shared.setup.me.clone();
         let but: Vec<&Peer> = [&me].into_iter().chain(&late).collect();
-        let next = line.next(now, &shared.dead, &but).cloned();
+        let next = candidates.next(now, &shared.dead, &but).cloned();
         let out = shared.leaving || (!last && (self.over.is_some() || now < self.sits_out));
         // It carries on where there is no other.
         if (out && (next.is_some() || shared.leaving)) || !self.has_room(from) {
@@ -109,7 +109,7 @@
         if self.instead.is_none() {
             self.instead = late.map(|late| (late, now + 2 * shared.setup.lease));
         }
-        if planted(Fault::JoinsMove) && from != &me && line.rank(from) < line.rank(&me) {
+        if planted(Fault::JoinsMove) && from != &me && candidates.rank(from) < candidates.rank(&me) {
             return self.hand_over(now, Some(from.clone()), shared);
         }
         self.empty = None;
--- a/pure/relay/src/source.rs
+++ b/pure/relay/src/source.rs
@@ -2,7 +2,7 @@
 //! gaps are the ring's; a source that starts again at 1 has a new epoch.
 
 use crate::ring::{Put, Ring};
-use crate::words::{Item, Stream};
+use crate::types::{Item, Stream};
 use foldmux_seats::Time;
 
 pub struct Source {
--- a/pure/relay/src/words.rs
+++ b/pure/relay/src/types.rs
@@ -1,4 +1,4 @@
-//! The words of the part: streams, places in them, what processes say to each other, what a process asks and is told.
+//! The types of the part: streams, places in them, what processes say to each other, what a process asks and is told.
 
 use foldmux_seats::{Drift, Peer, Seats, Time};
 use serde::{Deserialize, Serialize};
