Name a key's seat a replica in the crate for takeover

`Setup::seats`, which the proxy sets, and the names of planted faults stay, as does `foldmux-seats`: both are listed in the glossary.

--- a/pure/takeover/src/claim.rs
+++ b/pure/takeover/src/claim.rs
@@ -1,4 +1,4 @@
-//! The claim of a key: asked of its three seats under a new term, until two grant it, two show the same final answer, or
+//! The claim of a key: asked of its three replicas under a new term, until two grant it, two show the same final answer, or
 //! nobody who waits has time left. A grant alone keeps no later claim away: only what its owner writes or renews does.
 
 use crate::holding::Holding;
@@ -17,10 +17,10 @@
 pub struct Claim {
     pub work: Option<Arc<Work>>,
     pub waiting: Vec<Waiting>,
-    /// A seat said that this process is next in line: until then, with nobody that waits.
+    /// A replica said that this process is next in line: until then, with nobody that waits.
     pub heir: Option<Time>,
     pub ballot: Ballot,
-    pub seats: [Peer; 3],
+    pub replicas: [Peer; 3],
     /// When the round that is out was sent; none in a pause.
     pub sent: Option<Time>,
     pub replies: [Option<Reply>; 3],
@@ -41,7 +41,7 @@
             waiting: Vec::new(),
             heir: None,
             ballot: Ballot::none(),
-            seats: at.setup.seats.of(&key.bytes()).map(Peer::clone),
+            replicas: at.setup.seats.of(&key.bytes()).map(Peer::clone),
             sent: None,
             replies: [None, None, None],
             next: at.now,
@@ -69,7 +69,7 @@
         self.replies.iter().flatten().filter_map(left).min()
     }
 
-    /// A final answer that two seats hold under one ballot.
+    /// A final answer that two replicas hold under one ballot.
     fn kept(&self) -> Option<Answer> {
         let records: Vec<&Record> = self.replies.iter().flatten().filter_map(|r| r.2.as_ref()).collect();
         let twice = |record: &&&Record| {
@@ -89,10 +89,10 @@
         (claim.sent, claim.replies) = (Some(at.now), [None, None, None]);
         claim.next = at.now + (at.setup.lease * claim.tries.min(5) / 5).max(1);
         let left = claim.waiting.iter().map(|w| w.until).chain(claim.heir).max().unwrap_or(at.now);
-        for seat in claim.seats.iter() {
+        for replica in claim.replicas.iter() {
             let ballot = claim.ballot.clone();
             let left = left.saturating_sub(at.now);
-            at.send(seat, Message::Claim { key, ballot, work: claim.work.clone(), left });
+            at.send(replica, Message::Claim { key, ballot, work: claim.work.clone(), left });
         }
         self.arm(key);
     }
@@ -108,7 +108,7 @@
         else {
             return;
         };
-        let Some(place) = claim.seats.iter().position(|seat| seat == from) else { return };
+        let Some(place) = claim.replicas.iter().position(|replica| replica == from) else { return };
         claim.top = claim.top.max(reply.1.term);
         claim.known |= reply.2.is_some() || matches!(reply.0, Verdict::Busy { .. } | Verdict::Higher);
         claim.replies[place].get_or_insert(reply);
@@ -129,7 +129,7 @@
         } else if yes + claim.replies.iter().filter(|reply| reply.is_none()).count() < 2 {
             self.missed(at, key);
         } else if claim.replies.iter().flatten().count() == 2 {
-            // All hangs on one seat, which may be dead: not waited for much longer than the others took.
+            // All hangs on one replica, which may be dead: not waited for much longer than the others took.
             let soon = claim.busy().unwrap_or(0).max(at.setup.resend() / 5);
             self.claims.entry(key).and_modify(|claim| claim.next = claim.next.min(at.now + soon));
         }
@@ -172,7 +172,7 @@
         }
     }
 
-    /// Two seats granted it: the record that was written last is the one that goes on.
+    /// Two replicas granted it: the record that was written last is the one that goes on.
     fn own(&mut self, at: &mut At, key: Key, claim: Claim) {
         let shown: Vec<Record> = claim.replies.iter().flatten().filter_map(|r| r.2.clone()).collect();
         let best = shown.iter().max_by_key(|record| record.place()).cloned();
@@ -186,7 +186,7 @@
         if at.setup.planted(Fault::AgeFromArrival) {
             record.attempts.iter_mut().for_each(|attempt| attempt.age = 0);
         }
-        // Ages were right when a seat answered: at the earliest, when it was asked.
+        // Ages were right when a replica answered: at the earliest, when it was asked.
         let sent = claim.sent.unwrap_or(at.now);
         let left = until.map_or(record.left, |until| until.saturating_sub(at.now));
         record = record.aged(at.now - sent);
--- a/pure/takeover/src/grant.rs
+++ b/pure/takeover/src/grant.rs
@@ -1,14 +1,14 @@
-//! A claim at a seat: granted, or why not. Each term is granted once, and none while another's lease runs.
+//! A claim at a replica: granted, or why not. Each term is granted once, and none while another's lease runs.
 
 use crate::message::{Message, Verdict};
 use crate::part::At;
 use crate::record::{Ballot, Key, Record, Work};
-use crate::seat::{Held, Seat, WATCHERS};
+use crate::replica::{Held, Replica, WATCHERS};
 use crate::setup::Fault;
 use foldmux_seats::Time;
 use std::sync::Arc;
 
-impl Seat {
+impl Replica {
     pub fn claim(&mut self, at: &mut At, key: Key, ballot: Ballot, work: Option<Arc<Work>>, left: Time) {
         let to = ballot.owner.clone();
         let (verdict, seen, record) = self.grant(at, key, &ballot, work, left);
@@ -28,7 +28,7 @@
             return (Verdict::NoVote, Ballot::none(), None);
         }
         let class = work.as_ref().map(|work| work.class.clone());
-        let forget = Seat::forget_at(at, class.as_deref(), left);
+        let forget = Replica::forget_at(at, class.as_deref(), left);
         let room = self.bytes + work.as_ref().map_or(0, |work| work.bytes()) <= at.setup.bytes;
         let Some(held) = self.held.get_mut(&key) else {
             if work.is_none() || !room || self.held.len() >= at.setup.records {
--- a/pure/takeover/src/hold.rs
+++ b/pure/takeover/src/hold.rs
@@ -44,7 +44,7 @@
         let own = |a: &&mut Attempt| a.term == term && a.number == number;
         let Some(attempt) = holding.record.attempts.iter_mut().find(own) else { return };
         attempt.ended = Some(end);
-        // That it may have run is what the seats take an attempt without an end for.
+        // That it may have run is what the replicas take an attempt without an end for.
         if end == End::NeverRan {
             holding.write(at, key, None);
         }
@@ -66,7 +66,7 @@
         self.arm(key);
     }
 
-    /// The host stops: the next that waits here goes on, else whoever the seats tell.
+    /// The host stops: the next that waits here goes on, else whoever the replicas tell.
     pub fn let_go(&mut self, at: &mut At, (key, term): (Key, u64), over: bool) {
         let Some(holding) = self.of_term(key, term).filter(|holding| holding.record.answer.is_none()) else {
             return;
--- a/pure/takeover/src/holding.rs
+++ b/pure/takeover/src/holding.rs
@@ -1,4 +1,4 @@
-//! One work that this process owns: the record as it last wrote it, what each seat has of it, and until when it may send.
+//! One work that this process owns: the record as it last wrote it, what each replica has of it, and until when it may send.
 
 use crate::claim::Claim;
 use crate::join::Waiting;
@@ -19,15 +19,15 @@
 #[derive(Clone, Debug)]
 pub struct Holding {
     pub ballot: Ballot,
-    pub seats: [Peer; 3],
+    pub replicas: [Peer; 3],
     /// As this owner last wrote it, right at `at`.
     pub record: Record,
     pub at: Time,
-    /// What each seat has of it, whether it has the work, and whether it promised a later owner.
+    /// What each replica has of it, whether it has the work, and whether it promised a later owner.
     pub acked: [u32; 3],
     pub has_work: [bool; 3],
     pub refused: [bool; 3],
-    /// When the last was sent that a seat said yes to.
+    /// When the last was sent that a replica said yes to.
     pub stamps: [Option<Time>; 3],
     pub lease: Lease,
     /// Where something may have run: until then it may be repeated.
@@ -48,7 +48,7 @@
         let until = now + record.left;
         Holding {
             ballot: claim.ballot.clone(),
-            seats: claim.seats.clone(),
+            replicas: claim.replicas.clone(),
             record,
             at: now,
             acked: [0; 3],
@@ -82,7 +82,7 @@
             .unwrap_or(self.until)
     }
 
-    /// The lease holds while two seats' do, and no longer than a repeat is dropped.
+    /// The lease holds while two replicas' do, and no longer than a repeat is dropped.
     pub fn relet(&mut self, at: &At) {
         let mut stamps = self.stamps;
         stamps.sort();
@@ -100,7 +100,7 @@
         let work = (!self.has_work[place]).then(|| self.record.work.clone());
         let note = Note { version, work, left, attempts, answer };
         let message = Message::Note { key, ballot: self.ballot.clone(), stamp: at.now, note };
-        at.send(&self.seats[place], message);
+        at.send(&self.replicas[place], message);
     }
 
     /// Writes the record as it has become.
@@ -115,13 +115,13 @@
 
     pub fn renew(&self, at: &mut At, key: Key, place: usize) {
         let message = Message::Renew { key, ballot: self.ballot.clone(), stamp: at.now };
-        at.send(&self.seats[place], message);
+        at.send(&self.replicas[place], message);
     }
 
     pub fn release(&self, at: &mut At, key: Key, over: bool) {
         self.lease.set(0);
-        for seat in &self.seats {
-            at.send(seat, Message::Release { key, ballot: self.ballot.clone(), over });
+        for replica in &self.replicas {
+            at.send(replica, Message::Release { key, ballot: self.ballot.clone(), over });
         }
     }
 }
--- a/pure/takeover/src/kept.rs
+++ b/pure/takeover/src/kept.rs
@@ -1,9 +1,9 @@
-//! What a seat keeps of a key beyond its process, so that the next one of its name remembers what this one promised.
+//! What a replica keeps of a key beyond its process, so that the next one of its name remembers what this one promised.
 //! Written whenever a promise or a record changes, before anybody hears of the change.
 
 use crate::part::Takeover;
 use crate::record::{Ballot, Key, Record};
-use crate::seat::{Held, Seat};
+use crate::replica::{Held, Replica};
 use crate::setup::Setup;
 use foldmux_seats::{Memory, Time};
 use serde::{Deserialize, Serialize};
@@ -58,7 +58,7 @@
 }
 
 impl Takeover {
-    /// With a seat that reads back what the process before it kept, and speaks in so long.
+    /// With a replica that reads back what the process before it kept, and speaks in so long.
     pub fn read_back(
         now: Time,
         setup: Setup,
@@ -70,46 +70,46 @@
         part
     }
 
-    /// The same later, for a seat that was mute until now. From here on it says what is to be kept.
+    /// The same later, for a replica that was mute until now. From here on it says what is to be kept.
     pub fn remember(&mut self, now: Time, speaks_in: Time, kept: impl Iterator<Item = (Key, Kept)>) {
         let lease = self.lease_time();
-        let seat = self.seat_mut();
-        seat.memory = Memory::whole(now.saturating_add(speaks_in));
-        seat.changed = Some(Default::default());
+        let replica = self.replica_mut();
+        replica.memory = Memory::whole(now.saturating_add(speaks_in));
+        replica.changed = Some(Default::default());
         for (key, kept) in kept {
             let held = Held::read_back(now, lease, kept);
-            seat.bytes += held.bytes();
-            seat.held.insert(key, held);
-            seat.arm(key);
+            replica.bytes += held.bytes();
+            replica.held.insert(key, held);
+            replica.arm(key);
         }
     }
 
     /// What has changed since this was last asked: to be kept before a message leaves. None: nothing is kept.
     pub fn changed(&mut self, now: Time) -> Vec<(Key, Kept)> {
-        let seat = self.seat_mut();
-        let keys = seat.changed.as_mut().map(std::mem::take).unwrap_or_default();
-        let kept = |key: Key| Some((key, seat.held.get(&key)?.kept(now)));
+        let replica = self.replica_mut();
+        let keys = replica.changed.as_mut().map(std::mem::take).unwrap_or_default();
+        let kept = |key: Key| Some((key, replica.held.get(&key)?.kept(now)));
         keys.into_iter().filter_map(kept).collect()
     }
 
     /// What changes is kept by nobody.
     pub fn keep_nothing(&mut self) {
-        self.seat_mut().changed = None;
+        self.replica_mut().changed = None;
     }
 
     /// All that there is to keep.
     pub fn all(&self, now: Time) -> Vec<(Key, Kept)> {
-        self.seat().held.iter().map(|(key, held)| (*key, held.kept(now))).collect()
+        self.replica().held.iter().map(|(key, held)| (*key, held.kept(now))).collect()
     }
 
-    /// What this seat promises can't be kept any more, or another process is this seat: it says nothing from here on.
+    /// What this replica promises can't be kept any more, or another process is this replica: it says nothing from here on.
     pub fn mute(&mut self) {
-        let seat = self.seat_mut();
-        (seat.memory, seat.changed) = (Memory::whole(Time::MAX), None);
+        let replica = self.replica_mut();
+        (replica.memory, replica.changed) = (Memory::whole(Time::MAX), None);
     }
 }
 
-impl Seat {
+impl Replica {
     /// Notes that what is kept of a key is not what it is any more.
     pub fn touch(&mut self, key: Key) {
         self.changed.iter_mut().for_each(|changed| _ = changed.insert(key));
--- a/pure/takeover/src/lib.rs
+++ b/pure/takeover/src/lib.rs
@@ -1,6 +1,6 @@
-//! A record of each covered request, kept at the three seats of its key, so that another process takes it over, once.
+//! A record of each covered request, kept at the three replicas of its key, so that another process takes it over, once.
 //!
-//! Owns: the record and what it proves ([`record`]), the seat's side ([`seat`]) and what of it outlives its process ([`kept`]), the claim by which a request is begun,
+//! Owns: the record and what it proves ([`record`]), the replica's side ([`replica`]) and what of it outlives its process ([`kept`]), the claim by which a request is begun,
 //! joined, answered from what is kept, or taken over ([`claim`], [`join`], [`successor`]), and the owner's side ([`owner`]).
 //! May not: do I/O, read a clock, start threads, choose a cache, or know a wire. One [`Takeover`] is all three at once in
 //! each process. Of two owners of one key, whenever they live, the later one has the greater term.
@@ -15,7 +15,7 @@
 mod owner;
 mod part;
 mod record;
-mod seat;
+mod replica;
 mod setup;
 mod successor;
 mod timers;
--- a/pure/takeover/src/message.rs
+++ b/pure/takeover/src/message.rs
@@ -9,25 +9,25 @@
 /// `stamp`: the asker's clock as it sent, given back as it came; nobody else reads it.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Message {
-    /// To a seat: whoever asks would own this key. With the work, so that its record begins with the claim.
+    /// To a replica: whoever asks would own this key. With the work, so that its record begins with the claim.
     Claim { key: Key, ballot: Ballot, work: Option<Arc<Work>>, left: Time },
-    /// `seen`: the ballot that the seat has promised. The record is shown where the claim is granted, and where it is done.
+    /// `seen`: the ballot that the replica has promised. The record is shown where the claim is granted, and where it is done.
     Claimed { key: Key, ballot: Ballot, verdict: Verdict, seen: Ballot, record: Option<Record> },
-    /// To a seat: the record as it is now.
+    /// To a replica: the record as it is now.
     Note { key: Key, ballot: Ballot, stamp: Time, note: Note },
-    /// To a seat: the owner is there still.
+    /// To a replica: the owner is there still.
     Renew { key: Key, ballot: Ballot, stamp: Time },
-    /// `version`: what the seat holds under this ballot.
+    /// `version`: what the replica holds under this ballot.
     Noted { key: Key, ballot: Ballot, stamp: Time, verdict: Verdict, version: u32 },
-    /// To a seat: the owner stops. `over`: nobody need go on.
+    /// To a replica: the owner stops. `over`: nobody need go on.
     Release { key: Key, ballot: Ballot, over: bool },
-    /// From a seat, to the next in line: nobody owns this any more.
+    /// From a replica, to the next in line: nobody owns this any more.
     Succeed { key: Key },
-    /// From a seat, to whoever waits for this key: look again.
+    /// From a replica, to whoever waits for this key: look again.
     Changed { key: Key },
 }
 
-/// A record under one ballot, as it goes to a seat; without the work where the seat has that.
+/// A record under one ballot, as it goes to a replica; without the work where the replica has that.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Note {
     pub version: u32,
@@ -46,10 +46,10 @@
     },
     /// A later owner was promised this key.
     Higher,
-    /// The seat has no memory of the time before its start.
+    /// The replica has no memory of the time before its start.
     NoVote,
     Full,
-    /// The seat does not know this key, or not what it is about.
+    /// The replica does not know this key, or not what it is about.
     Unknown,
 }
 
@@ -151,7 +151,7 @@
     Failed {
         ticket: u64,
     },
-    /// Two seats have it.
+    /// Two replicas have it.
     Written {
         ticket: u64,
     },
--- a/pure/takeover/src/owner.rs
+++ b/pure/takeover/src/owner.rs
@@ -1,5 +1,5 @@
-//! The owner's side: it writes the record at the seats before anything may run and before anybody is answered, renews its
-//! lease, and stops where that is lost. What it writes counts when two seats have it.
+//! The owner's side: it writes the record at the replicas before anything may run and before anybody is answered, renews its
+//! lease, and stops where that is lost. What it writes counts when two replicas have it.
 
 use crate::claim::{answered, Claim};
 use crate::holding::Holding;
@@ -45,10 +45,10 @@
         at.setup.rules.get(&record.work.class).map_or(Repeat::SingleShot, |rule| rule.repeat)
     }
 
-    /// A seat said yes to a claim that two others had already granted, or was told of the key anew.
+    /// A replica said yes to a claim that two others had already granted, or was told of the key anew.
     pub fn late_grant(&mut self, at: &mut At, from: &Peer, key: Key, verdict: Verdict) {
         let Some(holding) = self.held.get_mut(&key) else { return };
-        let Some(place) = holding.seats.iter().position(|seat| seat == from) else { return };
+        let Some(place) = holding.replicas.iter().position(|replica| replica == from) else { return };
         if verdict == Verdict::Yes {
             holding.has_work[place] = true;
             holding.renew(at, key, place);
@@ -68,7 +68,7 @@
         if *ballot != holding.ballot {
             return;
         }
-        let Some(place) = holding.seats.iter().position(|seat| seat == from) else { return };
+        let Some(place) = holding.replicas.iter().position(|replica| replica == from) else { return };
         match verdict {
             Verdict::Yes => {
                 let stamp = if at.setup.planted(Fault::LeaseFromReply) { at.now } else { stamp.min(at.now) };
@@ -94,7 +94,7 @@
         }
     }
 
-    /// What two seats have by now is answered.
+    /// What two replicas have by now is answered.
     fn settle(&mut self, at: &mut At, key: Key) {
         let Some(holding) = self.held.get_mut(&key) else { return };
         let mut done = false;
--- a/pure/takeover/src/part.rs
+++ b/pure/takeover/src/part.rs
@@ -1,9 +1,9 @@
-//! Seat, owner and successor in one: what comes in is handed to the side that it is for.
+//! Replica, owner and successor in one: what comes in is handed to the side that it is for.
 
 use crate::message::{Ask, Lease, Message, Told};
 use crate::owner::Owner;
 use crate::record::Key;
-use crate::seat::Seat;
+use crate::replica::Replica;
 use crate::setup::Setup;
 use foldmux_seats::part::Acts;
 use foldmux_seats::{order, Do, Part, Peer, Time};
@@ -31,7 +31,7 @@
 #[derive(Debug)]
 pub struct Takeover {
     setup: Setup,
-    seat: Seat,
+    replica: Replica,
     owner: Owner,
     /// Who may be in line: all that are said to live. Bounded by whoever says so.
     alive: BTreeSet<Peer>,
@@ -40,24 +40,24 @@
 impl Takeover {
     pub fn new(now: Time, setup: Setup) -> Takeover {
         let alive = BTreeSet::from([setup.name.clone()]);
-        Takeover { seat: Seat::new(now, &setup), owner: Owner::new(setup.seed), setup, alive }
+        Takeover { replica: Replica::new(now, &setup), owner: Owner::new(setup.seed), setup, alive }
     }
 
     pub(crate) fn lease_time(&self) -> Time {
         self.setup.lease
     }
 
-    pub(crate) fn seat(&self) -> &Seat {
-        &self.seat
+    pub(crate) fn replica(&self) -> &Replica {
+        &self.replica
     }
 
-    pub(crate) fn seat_mut(&mut self) -> &mut Seat {
-        &mut self.seat
+    pub(crate) fn replica_mut(&mut self) -> &mut Replica {
+        &mut self.replica
     }
 
-    /// Keys that the seat knows, and works that this process owns or waits for.
+    /// Keys that the replica knows, and works that this process owns or waits for.
     pub fn counts(&self) -> (usize, usize) {
-        (self.seat.held.len(), self.owner.len())
+        (self.replica.held.len(), self.owner.len())
     }
 
     /// The lease of a work that this process owns.
@@ -65,19 +65,19 @@
         self.owner.held.get(&key).map(|holding| &holding.lease)
     }
 
-    /// Whether this process's seat votes yet.
+    /// Whether this process's replica votes yet.
     pub fn votes(&self, now: Time) -> bool {
-        self.seat.votes(&At { now, setup: &self.setup, out: &mut Vec::new() })
+        self.replica.votes(&At { now, setup: &self.setup, out: &mut Vec::new() })
     }
 }
 
 /// With leases of its own.
 impl Clone for Takeover {
     fn clone(&self) -> Takeover {
-        let (setup, seat, alive) = (self.setup.clone(), self.seat.clone(), self.alive.clone());
+        let (setup, replica, alive) = (self.setup.clone(), self.replica.clone(), self.alive.clone());
         let mut owner = self.owner.clone();
         owner.held.values_mut().for_each(|holding| holding.lease = holding.lease.apart());
-        Takeover { setup, seat, owner, alive }
+        Takeover { setup, replica, owner, alive }
     }
 }
 
@@ -90,18 +90,18 @@
         let at = &mut At { now, setup: &self.setup, out };
         match message {
             Message::Claim { key, ballot, work, left } if ballot.owner == *from => {
-                self.seat.claim(at, key, ballot, work, left)
+                self.replica.claim(at, key, ballot, work, left)
             }
             Message::Note { key, ballot, stamp, note } if ballot.owner == *from => {
-                self.seat.note(at, key, ballot, stamp, Some(note))
+                self.replica.note(at, key, ballot, stamp, Some(note))
             }
             Message::Renew { key, ballot, stamp } if ballot.owner == *from => {
-                self.seat.note(at, key, ballot, stamp, None)
+                self.replica.note(at, key, ballot, stamp, None)
             }
             Message::Release { key, ballot, over } if ballot.owner == *from => {
-                if self.seat.release(at, key, &ballot, over) {
+                if self.replica.release(at, key, &ballot, over) {
                     let line = order::of(&key.bytes(), &self.alive);
-                    self.seat.look(at, key, &line);
+                    self.replica.look(at, key, &line);
                 }
             }
             // What another says in an owner's name.
@@ -145,14 +145,14 @@
 
     fn tick(&mut self, now: Time, out: &mut Acts<Self>) {
         let at = &mut At { now, setup: &self.setup, out };
-        while let Some(key) = self.seat.timers.pop(now) {
-            if self.seat.held.get(&key).is_some_and(|held| held.forget <= now) {
-                self.seat.forget(key);
+        while let Some(key) = self.replica.timers.pop(now) {
+            if self.replica.held.get(&key).is_some_and(|held| held.forget <= now) {
+                self.replica.forget(key);
                 continue;
             }
             let line = order::of(&key.bytes(), &self.alive);
-            self.seat.look(at, key, &line);
-            self.seat.arm(key);
+            self.replica.look(at, key, &line);
+            self.replica.arm(key);
         }
         while let Some(key) = self.owner.timers.pop(now) {
             self.owner.tick(at, key);
@@ -160,6 +160,6 @@
     }
 
     fn due(&self) -> Option<Time> {
-        self.seat.timers.next().into_iter().chain(self.owner.timers.next()).min()
+        self.replica.timers.next().into_iter().chain(self.owner.timers.next()).min()
     }
 }
--- a/pure/takeover/src/record.rs
+++ b/pure/takeover/src/record.rs
@@ -26,7 +26,7 @@
     }
 }
 
-/// Who may write: a later term before an earlier one. A seat grants each term once, so no two owners share one.
+/// Who may write: a later term before an earlier one. A replica grants each term once, so no two owners share one.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Ballot {
     pub term: u64,
--- a/pure/takeover/src/seat.rs
+++ b/pure/takeover/src/replica.rs
@@ -1,4 +1,4 @@
-//! The seat's side of a key: whom it has promised, what was noted, whose lease runs, who waits. It grants each term once,
+//! The replica's side of a key: whom it has promised, what was noted, whose lease runs, who waits. It grants each term once,
 //! and none while another's lease runs; without memory of the time before its start it neither grants nor notes.
 
 use crate::message::{Message, Note, Verdict};
@@ -9,11 +9,13 @@
 use foldmux_seats::{Do, Memory, Peer, Time};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// Processes that a seat tells of a key's next change; one more looks again by itself.
+/// Processes that a replica tells of a key's next change; one more looks again by itself.
 pub const WATCHERS: usize = 8;
 
+/// What a replica knows of one key.
 #[derive(Clone, Debug)]
 pub struct Held {
+    /// The greatest ballot that was granted.
     pub promised: Ballot,
     /// The owner stopped by itself: its late messages prolong nothing. Whether somebody need go on.
     pub let_go: bool,
@@ -45,8 +47,10 @@
     }
 }
 
+/// This process as a replica of keys.
 #[derive(Clone, Debug)]
-pub struct Seat {
+pub struct Replica {
+    /// Whether it may vote yet.
     pub memory: Memory,
     pub held: BTreeMap<Key, Held>,
     pub timers: Timers,
@@ -55,13 +59,13 @@
     pub changed: Option<BTreeSet<Key>>,
 }
 
-impl Seat {
-    pub fn new(now: Time, setup: &Setup) -> Seat {
+impl Replica {
+    pub fn new(now: Time, setup: &Setup) -> Replica {
         let memory = match setup.memory {
             true => Memory::whole(now),
             false => Memory::fresh(now, &[setup.window()], setup.drift),
         };
-        Seat { memory, held: BTreeMap::new(), timers: Timers::default(), bytes: 0, changed: None }
+        Replica { memory, held: BTreeMap::new(), timers: Timers::default(), bytes: 0, changed: None }
     }
 
     pub fn votes(&self, at: &At) -> bool {
@@ -129,7 +133,7 @@
                 return (Verdict::Full, has);
             }
             self.bytes = bytes;
-            held.forget = held.forget.max(Seat::forget_at(at, Some(&new.work.class), new.left));
+            held.forget = held.forget.max(Replica::forget_at(at, Some(&new.work.class), new.left));
             (held.record, held.at) = (Some(new), at.now);
             self.changed.iter_mut().for_each(|changed| _ = changed.insert(key));
         }
--- a/pure/takeover/src/setup.rs
+++ b/pure/takeover/src/setup.rs
@@ -15,9 +15,9 @@
     pub drift: Drift,
     /// The longest deadline of a covered class.
     pub longest: Time,
-    /// The seat read back all that it had promised; or there was never anything to promise.
+    /// The replica read back all that it had promised; or there was never anything to promise.
     pub memory: bool,
-    /// Records that a seat holds, their bytes, and the works that this process owns or waits for.
+    /// Records that a replica holds, their bytes, and the works that this process owns or waits for.
     pub records: usize,
     pub bytes: usize,
     pub works: usize,
@@ -56,7 +56,7 @@
         }
     }
 
-    /// No promise matters for longer than this: a seat that lost its memory stays silent for so long.
+    /// No promise matters for longer than this: a replica that lost its memory stays silent for so long.
     pub fn window(&self) -> Time {
         let keep = self.rules.values().map(|rule| rule.keep).max().unwrap_or(0);
         self.longest + keep + self.lease
--- a/pure/takeover/src/successor.rs
+++ b/pure/takeover/src/successor.rs
@@ -1,4 +1,4 @@
-//! Who goes on with what nobody owns any more: a seat tells those who wait, else the next in line; whoever is told claims
+//! Who goes on with what nobody owns any more: a replica tells those who wait, else the next in line; whoever is told claims
 //! it under the next term, as any client's repeat does.
 
 use crate::claim::Claim;
@@ -7,14 +7,14 @@
 use crate::owner::Owner;
 use crate::part::At;
 use crate::record::{Answer, Key, Proof, Unclaimed};
-use crate::seat::Seat;
+use crate::replica::Replica;
 use crate::setup::Fault;
 use foldmux_seats::{Do, Peer};
 
-/// How often a seat looks for a successor: each may die in its turn, but not without end.
+/// How often a replica looks for a successor: each may die in its turn, but not without end.
 const SUCCESSORS: usize = 8;
 
-impl Seat {
+impl Replica {
     /// Whom to turn to now that nobody owns this: those who wait, else the next in line.
     pub fn look(&mut self, at: &mut At, key: Key, line: &[&Peer]) {
         let Some(held) = self.held.get_mut(&key) else { return };
@@ -46,7 +46,7 @@
 }
 
 impl Owner {
-    /// A seat says that this process is next in line.
+    /// A replica says that this process is next in line.
     pub fn succeed(&mut self, at: &mut At, key: Key) {
         let until = Some(at.now + at.setup.longest);
         if self.held.contains_key(&key) || (self.leaving && at.setup.seats.listed().len() > 1) {
@@ -63,7 +63,7 @@
         }
     }
 
-    /// A seat says that the key that is waited for has changed.
+    /// A replica says that the key that is waited for has changed.
     pub fn changed(&mut self, at: &mut At, key: Key) {
         if self.claims.get(&key).is_some_and(|claim| claim.sent.is_none()) {
             self.begin(at, key);
