Tell the demos' proxies how long a dial may take and a connection may rest

Where settings do not tell it, no idle connection is used again since; the demos' settings told neither and went by the former defaults, which were one deployment's. They are told the same figures now.

--- a/rigs/demo/src/extproc/files.rs
+++ b/rigs/demo/src/extproc/files.rs
@@ -22,7 +22,7 @@
 "settings":{{"index":0,"balancers":1,"locality":1,"dcs":["hub","edge"],"kinds":["box","parent","origin"],
 "classes":[{{"name":"formula-card","slo":1000000,"hardLimit":2000000,"idempotency":"free"}},
 {{"name":"mix-record","slo":300000,"hardLimit":1500000,"idempotency":"guarded","group":"cell","repeatWindow":{window}}}],
-"limits":{{"maxAttempts":4,"cancel":true,"retryAfter":true,"maxRetryAfter":100000}},
+"limits":{{"maxAttempts":4,"dialTimeout":400000,"keepalive":15000000,"cancel":true,"retryAfter":true,"maxRetryAfter":100000}},
 "rules":{{"answerSlack":8000,"stopSendingWithin":250000,"coldFrom":0.17,"rampTime":18000000,"fall":3000000,"fallMultiple":4.0}},
 "domain":{{"originKind":2,"midKind":1,"siblings":"any","notesGiven":"none","clientKbPerS":5000.0,"direct":false,
 "hubOf":[0,0],"passOn":[false,true],"instancesByZone":[0,1],"parentFloor":0.1,"parentCold":21000000,
--- a/rigs/demo/src/hubs/files.rs
+++ b/rigs/demo/src/hubs/files.rs
@@ -43,7 +43,7 @@
     format!(
         r#"{{"name":"n{office}","listen":"{listen}","seed":"{office}7","limits":{{"memory_mb":128,"sockets":512}},"journal":"{}","known":{},
         "settings":{{"index":{office},"balancers":2,"locality":{own},"dcs":[{}],"kinds":["box","parent","origin"],
-        "classes":[{}],"limits":{{"maxAttempts":8,"cancel":true,"retryAfter":true,"maxRetryAfter":2000000}},
+        "classes":[{}],"limits":{{"maxAttempts":8,"dialTimeout":400000,"keepalive":15000000,"cancel":true,"retryAfter":true,"maxRetryAfter":2000000}},
         "rules":{{"answerSlack":8000,"stopSendingWithin":250000,"coldFrom":0.17,"rampTime":18000000,"fall":3000000,"fallMultiple":4.0}},
         "domain":{{"originKind":2,"midKind":1,"siblings":"any","notesGiven":"none","clientKbPerS":5000.0,"direct":true,
         "hubOf":[0,1,2,1,0],"passOn":[false,false,true],"instancesByZone":[0,0,0,1,1],"parentFloor":0.067,"parentCold":21000000,
