Keep a test's plain request, attempt and resting client in one place each

The tests of attempts and of closes had a second copy of each: fetch and inquiry in edge/upstream/tests (attempts, common), rested in edge/proxy/tests (closes, shutdown). Assertions stay; budgets of 20 s become 60 s in attempts.rs, where none is waited for.

--- a/edge/proxy/tests/closes.rs
+++ b/edge/proxy/tests/closes.rs
@@ -10,19 +10,10 @@
 const ONE: u64 = 0x1111_0000_0000_0001;
 const TWO: u64 = 0x2222_0000_0000_0002;
 
-/// A client with one answer behind it, at rest.
-fn rested(rig: &Rig, object: u64) -> Client {
-    let mut client = rig.client();
-    client.ask(object);
-    rig.attempt().give(b"ok");
-    assert!(client.answer().contains("\\xc4\\x02ok"));
-    client
-}
-
 #[test]
 fn a_request_across_the_end_of_a_long_rest_meets_no_reset_and_is_not_sent_on() {
     let rig = Rig::start();
-    let mut client = rested(&rig, ONE);
+    let mut client = rig.rested(ONE);
     client.ends();
     for n in 0..3 {
         // After a reset it could not be written.
@@ -36,7 +27,7 @@
 fn whoever_makes_way_sees_an_end_and_one_whose_request_has_arrived_does_not_make_way() {
     // 64 descriptors: 21 places for clients, of which one is kept free ahead.
     let rig = Rig::start_with(|config| config.replace("\"sockets\":1024", "\"sockets\":64"));
-    let mut resting: Vec<Client> = (0..20).map(|n| rested(&rig, ONE + n)).collect();
+    let mut resting: Vec<Client> = (0..20).map(|n| rig.rested(ONE + n)).collect();
     rig.stop();
     resting[0].ask(TWO);
     let mut newcomer = rig.client();
--- a/edge/proxy/tests/common/steps.rs
+++ b/edge/proxy/tests/common/steps.rs
@@ -95,6 +95,15 @@
         }
     }
 
+    /// A client with one answer behind it, at rest. The cache closes its connection: what is sent on later comes on another.
+    pub fn rested(&self, object: u64) -> Client {
+        let mut client = self.client();
+        client.ask(object);
+        self.attempt().give(b"ok");
+        assert!(client.answer().contains("\\xc4\\x02ok"));
+        client
+    }
+
     pub fn signal(&self, name: &str) {
         self.program.signal(name);
     }
--- a/edge/proxy/tests/shutdown.rs
+++ b/edge/proxy/tests/shutdown.rs
@@ -15,16 +15,6 @@
 /// Of the largest objects.
 const LARGE: usize = 240_000;
 
-/// A client with one answer behind it, at rest.
-fn rested(rig: &Rig, object: u64) -> Client {
-    let mut client = rig.client();
-    client.ask(object);
-    // The cache closes its connection: what is sent on later comes on another.
-    rig.attempt().give(b"ok");
-    assert!(client.answer().contains("\\xc4\\x02ok"));
-    client
-}
-
 #[test]
 fn before_it_is_ready_it_ends_in_order() {
     let mut rig = Rig::start_with(|config| {
@@ -76,7 +66,7 @@
 #[test]
 fn a_request_that_has_arrived_on_a_resting_connection_is_served() {
     let mut rig = Rig::start();
-    let mut client = rested(&rig, ONE);
+    let mut client = rig.rested(ONE);
     rig.stop();
     client.ask(TWO);
     rig.signal("-TERM");
@@ -92,7 +82,7 @@
 #[test]
 fn a_request_that_crosses_the_end_is_not_sent_on_and_the_end_is_no_reset() {
     let mut rig = Rig::start();
-    let mut client = rested(&rig, ONE);
+    let mut client = rig.rested(ONE);
     rig.leave();
     client.ends();
     // It was on its way when the connection ended, and more comes after.
@@ -145,7 +135,7 @@
 #[test]
 fn a_client_that_never_closes_does_not_keep_the_process() {
     let mut rig = Rig::start();
-    let (mut rests, mut silent) = (rested(&rig, ONE), rig.client());
+    let (mut rests, mut silent) = (rig.rested(ONE), rig.client());
     rig.leave();
     rests.ends();
     silent.ends();
--- a/edge/upstream/tests/attempts.rs
+++ b/edge/upstream/tests/attempts.rs
@@ -1,10 +1,9 @@
 //! Attempts at caches that drain, go, start anew or move after the module decided: no connection is opened.
 
-use foldmux::interface::{CacheId, Fetch, Member, Outcome, RequestId, State, Time};
+use foldmux::interface::{Member, Outcome, RequestId, State, Time};
 use foldmux_core::attempt::{Attempt, Tries};
 use foldmux_core::clock::Clock;
 use foldmux_core::desk::Target;
-use foldmux_core::inquiry::Inquiry;
 use foldmux_core::members::{Listed, Members};
 use foldmux_core::slot::Slot;
 use foldmux_upstream::{pool::Pool, Upstream};
@@ -13,47 +12,14 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-const CACHE: CacheId = CacheId(7);
+mod common;
+
+use common::{fetch, inquiry, CACHE};
 
 fn line(address: SocketAddr, state: State, boot: Time) -> Listed {
     Listed { member: Member { cache: CACHE, state, boot, ..Member::default() }, name: "s".into(), address }
 }
 
-fn fetch() -> Fetch {
-    Fetch {
-        id: RequestId(1),
-        cache: CACHE,
-        time_out: 0,
-        send_by: 0,
-        source: CACHE,
-        keep: 0,
-        max_age: 0,
-        join: false,
-        hold_only: false,
-        renew: false,
-    }
-}
-
-fn inquiry() -> Inquiry {
-    Inquiry {
-        via: 1,
-        class: Arc::new(0),
-        class_name: "sheet".into(),
-        object: 5,
-        part: 0,
-        group: 0,
-        size_kb: 1.0,
-        token: None,
-        got: None,
-        body: None,
-        arrived: Instant::now(),
-        budget: 20_000_000,
-        front: "test",
-        caller: "".into(),
-        within: None,
-    }
-}
-
 /// How an attempt ends that the module decided on while the cache was `before`, and that is made once it is `after`.
 fn attempt(upstream: &Upstream, before: Listed, after: Option<Listed>) -> Outcome {
     upstream.members.apply(true, vec![before.clone()]);
--- a/edge/upstream/tests/common/mod.rs
+++ b/edge/upstream/tests/common/mod.rs
@@ -1,8 +1,10 @@
 //! One cache on a real socket and attempts at it, each step of which the test releases.
 #![allow(dead_code)]
 
+mod requests;
 mod sockets;
 
+pub use requests::*;
 pub use sockets::*;
 
 use foldmux::interface::{CacheId, Fetch, Member, Outcome, RequestId, State};
@@ -56,35 +58,7 @@
 
     /// A request for this cache, to be changed before it is made.
     pub fn asked(&self) -> Asked {
-        let fetch = Fetch {
-            id: RequestId(1),
-            cache: CACHE,
-            time_out: 0,
-            send_by: 0,
-            source: CACHE,
-            keep: 0,
-            max_age: 0,
-            join: false,
-            hold_only: false,
-            renew: false,
-        };
-        let inquiry = Inquiry {
-            via: 1,
-            class: Arc::new(0),
-            class_name: "sheet".into(),
-            object: 5,
-            part: 0,
-            group: 0,
-            size_kb: 1.0,
-            token: None,
-            got: None,
-            body: None,
-            arrived: Instant::now(),
-            budget: 60_000_000,
-            front: "test",
-            caller: "".into(),
-            within: None,
-        };
+        let (fetch, inquiry) = (fetch(), inquiry());
         let target =
             Target { cache: Some(self.listed.start()), source: None, attempt: 0, decided: Instant::now() };
         Asked { inquiry, fetch, target, slot: Slot::new(RequestId(1)), guard: None }
--- /dev/null
+++ b/edge/upstream/tests/common/requests.rs
@@ -0,0 +1,44 @@
+//! A plain request and one attempt for it, which the tests change as they need.
+
+use super::CACHE;
+use foldmux::interface::{Fetch, RequestId};
+use foldmux_core::inquiry::Inquiry;
+use std::sync::Arc;
+use std::time::Instant;
+
+/// An attempt at the cache, without a source.
+pub fn fetch() -> Fetch {
+    Fetch {
+        id: RequestId(1),
+        cache: CACHE,
+        time_out: 0,
+        send_by: 0,
+        source: CACHE,
+        keep: 0,
+        max_age: 0,
+        join: false,
+        hold_only: false,
+        renew: false,
+    }
+}
+
+/// A request with time for all that a test does.
+pub fn inquiry() -> Inquiry {
+    Inquiry {
+        via: 1,
+        class: Arc::new(0),
+        class_name: "sheet".into(),
+        object: 5,
+        part: 0,
+        group: 0,
+        size_kb: 1.0,
+        token: None,
+        got: None,
+        body: None,
+        arrived: Instant::now(),
+        budget: 60_000_000,
+        front: "test",
+        caller: "".into(),
+        within: None,
+    }
+}
