--- a/edge/fronts/extproc/benches/decide.rs
+++ b/edge/fronts/extproc/benches/decide.rs
@@ -5,13 +5,12 @@
 //! that time. Nothing here is a test, and no figure is judged.
 
 use common::{script, Instance};
+use flood::Flood;
 use foldmux_core::lent::{place, Placed};
 use foldmux_core::Inquiry;
 use foldmux_extproc::check::asks;
 use foldmux_extproc::pb::external_processor_client::ExternalProcessorClient;
-use foldmux_extproc::pb::{
-    HeaderMap, HeaderValue, HttpBody, HttpHeaders, ProcessingRequest, Request, Response,
-};
+use foldmux_extproc::pb::{HeaderMap, HeaderValue, HttpHeaders, ProcessingRequest, Request, Response};
 use foldmux_fronts::dns::{server::Bound as Dns, Routed};
 use foldmux_operator::Dns as Setup;
 use foldmux_standins::caller::hold;
@@ -27,6 +26,8 @@
 
 #[path = "../tests/common/mod.rs"]
 mod common;
+#[path = "decide/flood.rs"]
+mod flood;
 
 const TIME: Duration = Duration::from_secs(4);
 const PATH: &str = "/v2/q/sheet/00000000000000aa/0";
@@ -177,52 +178,6 @@
     open_loop((0..streams).map(work).collect(), rate)
 }
 
-/// One stream after the other, each flooded with bodies that are answered until the front has had enough of them.
-struct Flood(Arc<AtomicU64>, Arc<AtomicU64>, thread::JoinHandle<()>);
-
-impl Flood {
-    fn start(at: SocketAddr) -> Flood {
-        let (sent, over) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
-        let (counted, told) = (sent.clone(), over.clone());
-        let thread = thread::spawn(move || {
-            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-            runtime.block_on(async {
-                let mut client = ExternalProcessorClient::connect(format!("http://{at}")).await.unwrap();
-                let (sender, messages) = mpsc::channel(16);
-                let mut ask = asks("GET", PATH, &[]);
-                if let Some(Request::RequestHeaders(headers)) = &mut ask.request {
-                    headers.end_of_stream = false;
-                }
-                let _ = sender.send(ask).await;
-                let mut answers = client.process(ReceiverStream::new(messages)).await.unwrap().into_inner();
-                let body = HttpBody { body: vec![0; 1_000], ..HttpBody::default() };
-                let flood = async {
-                    while told.load(Ordering::Relaxed) == 0 {
-                        let request = Some(Request::RequestBody(body.clone()));
-                        if sender
-                            .send(ProcessingRequest { request, ..ProcessingRequest::default() })
-                            .await
-                            .is_err()
-                        {
-                            return;
-                        }
-                        counted.fetch_add(1, Ordering::Relaxed);
-                    }
-                };
-                let read = async { while let Ok(Some(_)) = answers.message().await {} };
-                tokio::select! { () = flood => {}, () = read => {} }
-            });
-        });
-        Flood(sent, over, thread)
-    }
-
-    fn end(self) -> u64 {
-        self.1.store(1, Ordering::Relaxed);
-        self.2.join().unwrap();
-        self.0.load(Ordering::Relaxed)
-    }
-}
-
 fn instance(commit: Commit) -> (Instance, tempfile::TempDir) {
     let folder = tempfile::tempdir().unwrap();
     let at = SocketAddr::from(([127, 0, 0, 1], 9));
--- a/edge/fronts/extproc/src/keyed.rs
+++ b/edge/fronts/extproc/src/keyed.rs
@@ -1,76 +1,22 @@
 //! Keyed attempts in service: the ledger and the tokens' keys behind one lock, and the store under the ledger. What it
 //! decides is in the pure crate; here it is written before it is told.
 
-use foldmux_repeats::ledger::{End, Entry, Grant, Ledger, Refusal, Rule};
+use foldmux_repeats::ledger::{End, Entry, Ledger, Refusal, Rule};
 use foldmux_repeats::token::{Bad, Keys, Mark, Token};
 use foldmux_repeats::Millis;
-use foldmux_store::{Commit, Fault, Opener, Store};
-use std::fmt;
-use std::sync::atomic::{AtomicU64, Ordering};
+use foldmux_store::{Commit, Opener, Store};
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{SystemTime, UNIX_EPOCH};
-use tokio::sync::oneshot;
 
-pub fn unix_ms() -> Millis {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
-}
+pub use grip::Grip;
+pub use refused::{Counts, No};
 
-/// What was refused, for the log.
-#[derive(Debug, Default)]
-pub struct Counts {
-    pub forged: AtomicU64,
-    pub foreign: AtomicU64,
-    pub malformed: AtomicU64,
-    pub expired: AtomicU64,
-    pub replayed: AtomicU64,
-    pub running: AtomicU64,
-    pub given_up: AtomicU64,
-    pub full: AtomicU64,
-    pub unstored: AtomicU64,
-}
+mod grip;
+mod refused;
 
-impl fmt::Display for Counts {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        let all = [
-            ("forged", &self.forged),
-            ("foreign", &self.foreign),
-            ("malformed", &self.malformed),
-            ("expired", &self.expired),
-            ("replayed", &self.replayed),
-            ("running", &self.running),
-            ("given up", &self.given_up),
-            ("full", &self.full),
-            ("not stored", &self.unstored),
-        ];
-        let told: Vec<String> = all
-            .iter()
-            .map(|(name, count)| (name, count.load(Ordering::Relaxed)))
-            .filter(|(_, n)| *n > 0)
-            .map(|(name, n)| format!("{name} {n}"))
-            .collect();
-        f.write_str(&told.join(", "))
-    }
-}
-
-/// Why a keyed request is not placed.
-#[derive(Clone, Debug, PartialEq)]
-pub enum No {
-    Token(Bad),
-    Ledger(Refusal),
-    Store(Fault),
-    /// The store has not been opened yet: what it holds is not known.
-    NotLoaded,
-}
-
-impl fmt::Display for No {
-    fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
-        match self {
-            No::Token(bad) => bad.fmt(f),
-            No::Ledger(refusal) => refusal.fmt(f),
-            No::Store(fault) => write!(f, "the ledger of keyed attempts can't be written: {fault}"),
-            No::NotLoaded => f.write_str("the ledger of keyed attempts can't be read yet"),
-        }
-    }
+pub fn unix_ms() -> Millis {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
 }
 
 struct State {
@@ -192,7 +138,7 @@
         drop(state);
         forgotten.iter().for_each(|mark| self.store.iter().for_each(|store| store.remove(&mark.0)));
         match asked {
-            Ok(grant) => Ok(Grip { keeper: self.clone(), key, rule, grant, held: Held::Asked }),
+            Ok(grant) => Ok(Grip::granted(self.clone(), key, rule, grant)),
             Err(refusal) => {
                 let count = match refusal {
                     Refusal::Running { .. } | Refusal::Deciding => &self.counts.running,
@@ -220,98 +166,3 @@
         }
     }
 }
-
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Held {
-    /// Granted, and not written.
-    Asked,
-    /// Written; whether the caller was told of it.
-    Out {
-        attempt: u8,
-        told: bool,
-    },
-    Over,
-}
-
-/// One key's attempt, from its grant to its end; however it is dropped, the ledger is told what is known.
-pub struct Grip {
-    keeper: Arc<Keeper>,
-    key: Mark,
-    rule: Rule,
-    pub grant: Grant,
-    held: Held,
-}
-
-impl Grip {
-    /// The group that the attempt is bound to, where one may have run.
-    pub fn within(&self) -> Option<u32> {
-        match self.grant {
-            Grant::Anywhere { .. } => None,
-            Grant::Within { group, .. } => Some(group),
-        }
-    }
-
-    /// Writes the attempt, to be sent to this group; its token once that is on the disk. Again, where the first choice
-    /// fell through before it was told.
-    pub async fn hand(&mut self, request: Mark, group: u32) -> Result<(Token, String), No> {
-        let (told, written) = oneshot::channel();
-        let (attempt, first, expires) = match self.grant {
-            Grant::Anywhere { attempt, first, expires } => (attempt, first, expires),
-            Grant::Within { attempt, first, expires, .. } => (attempt, first, expires),
-        };
-        let token = Token { request, key: self.key, attempt, group, first, expires };
-        let text = {
-            let mut state = lock(&self.keeper.state);
-            let ledger = state.ledger.as_mut().ok_or(No::NotLoaded)?;
-            let entry = ledger.hand(unix_ms(), self.key, &self.rule, &self.grant, group, request);
-            self.held = Held::Out { attempt, told: false };
-            let store = self.keeper.store.as_ref().ok_or(No::NotLoaded)?;
-            store.put(&self.key.0, &entry.to_bytes(), Box::new(move |result| drop(told.send(result))));
-            state.keys.sign(&token)
-        };
-        match written.await.unwrap_or(Err(Fault::Full)) {
-            Ok(()) => Ok((token, text)),
-            Err(fault) => {
-                self.keeper.counts.unstored.fetch_add(1, Ordering::Relaxed);
-                Err(No::Store(fault))
-            }
-        }
-    }
-
-    /// The caller is told now: from here on the attempt may run.
-    pub fn told(&mut self) {
-        if let Held::Out { told, .. } = &mut self.held {
-            *told = true;
-        }
-    }
-
-    /// How long from now the attempt may be running, where nothing is heard of it (ms).
-    pub fn quiet_in(&self) -> Millis {
-        let state = lock(&self.keeper.state);
-        let entry = state.ledger.as_ref().and_then(|ledger| ledger.get(self.key));
-        entry.map_or(0, |entry| entry.quiet_at.saturating_sub(unix_ms()))
-    }
-
-    /// What is known of the attempt's end.
-    pub fn end(&mut self, end: End) {
-        if let Held::Out { attempt, .. } = self.held {
-            self.held = Held::Over;
-            self.keeper.ended(self.key, attempt, end);
-        }
-    }
-}
-
-impl Drop for Grip {
-    fn drop(&mut self) {
-        match self.held {
-            Held::Asked => {
-                if let Some(ledger) = &mut lock(&self.keeper.state).ledger {
-                    ledger.let_go(self.key);
-                }
-            }
-            Held::Out { told: false, .. } => self.end(End::NeverRan),
-            // Nothing is known of it: it may be running until its time is over, as the ledger has it.
-            Held::Out { told: true, .. } | Held::Over => {}
-        }
-    }
-}
--- /dev/null
+++ b/tests/any_events.rs
@@ -0,0 +1,111 @@
+//! Generated events, over which the rules hold.
+mod common;
+use common::*;
+use foldmux::interface::*;
+use std::collections::BTreeMap;
+
+#[test]
+fn any_events_from_a_fixed_seed_one_final_answer_each_and_no_send_to_a_drained_cache() {
+    for seed in 0..12u64 {
+        let (log, again) = (play(seed), play(seed));
+        assert_eq!(log, again, "identical events give identical actions");
+        assert!(log.len() > 500);
+    }
+}
+
+/// Plays generated events; asserts the rules as it goes and gives all actions.
+fn play(seed: u64) -> Vec<Action> {
+    let mut x = seed.wrapping_mul(0x9e3779b97f4a7c15) | 1;
+    let mut draw = move |n: u64| {
+        x ^= x << 13;
+        x ^= x >> 7;
+        x ^= x << 17;
+        x % n
+    };
+    let told = [Notes::None, Notes::HitOnly, Notes::All][(seed % 3) as usize];
+    let choice = Settings { notes: told, may_duplicate: seed.is_multiple_of(2), ..settings() };
+    let mut front = Front::new(choice, members());
+    let mut state: BTreeMap<u32, State> = members().iter().map(|m| (m.cache.0, m.state)).collect();
+    let mut open: BTreeMap<RequestId, (Time, u8)> = BTreeMap::new();
+    let mut out: Vec<(Fetch, u8, Time)> = Vec::new();
+    let mut ended: BTreeMap<RequestId, u32> = BTreeMap::new();
+    let mut log = Vec::new();
+    for step in 0..4_000 {
+        front.now += draw(20) * MS;
+        let overdue = out.iter().position(|(f, _, _)| open.get(&f.id).is_some_and(|o| front.now >= o.0));
+        let mut closing = None;
+        let actions = match (overdue, draw(10)) {
+            (None, 0..=3) if step < 3_500 => {
+                let (id, actions) = front.request(draw(2) as usize, draw(200) + 1);
+                open.insert(id, (front.now + 3 * SECOND, 0));
+                actions
+            }
+            (None, 4) => {
+                let cache = [10, 11, 12, 13, 20, 21, 22, 30, 31][draw(9) as usize];
+                let new = [State::Ready, State::Ready, State::Draining, State::Gone][draw(4) as usize];
+                state.insert(cache, new);
+                let boot = front.now;
+                front.change(cache, |m| (m.state, m.boot) = (new, boot))
+            }
+            (None, 5) => front.event(Event::Timer { token: 1 }),
+            (None, 6) => {
+                let object = (draw(2) == 0).then(|| ObjectId(draw(200) + 1));
+                front.event(Event::Purged { object, group: draw(8) as u32, ago: draw(300) * MS })
+            }
+            (at, _) => {
+                if out.is_empty() {
+                    continue;
+                }
+                let at = at.unwrap_or(draw(out.len() as u64) as usize);
+                let (fetch, attempt, _) = out.remove(at);
+                let due = open.get(&fetch.id).is_some_and(|o| front.now >= o.0);
+                let outcome = match draw(8) {
+                    _ if due => Outcome::TimedOut,
+                    0 => Outcome::Error,
+                    1 => Outcome::Full,
+                    2 => Outcome::Miss,
+                    3 => Outcome::ConnectFailed,
+                    4 => Outcome::Reset,
+                    _ => Outcome::Served,
+                };
+                if outcome == Outcome::Served && open.contains_key(&fetch.id) {
+                    closing = Some(fetch.id);
+                }
+                front.outcome(&fetch, attempt, outcome, Note::Untold)
+            }
+        };
+        if let Some(id) = closing {
+            open.remove(&id);
+            *ended.entry(id).or_default() += 1;
+        }
+        for action in &actions {
+            match action {
+                Action::Fetch(fetch) => {
+                    assert_eq!(state[&fetch.cache.0], State::Ready, "sent to a cache that is not ready");
+                    assert_eq!(state[&fetch.source.0], State::Ready, "a source that is not ready");
+                    let entry = open.get_mut(&fetch.id).expect("nothing is sent after the end");
+                    out.push((fetch.clone(), entry.1, front.now));
+                    entry.1 += 1;
+                }
+                Action::Refuse { id, .. } | Action::Fail { id } => {
+                    open.remove(id).expect("one final answer");
+                    *ended.entry(*id).or_default() += 1;
+                }
+                Action::Cancel { id, attempt } => {
+                    assert!(out.iter().any(|(f, a, _)| f.id == *id && a == attempt), "cancels what is out");
+                }
+                _ => {}
+            }
+        }
+        log.extend(actions);
+    }
+    front.now += 10 * SECOND;
+    for action in front.event(Event::Timer { token: 1 }) {
+        if let Action::Refuse { id, .. } | Action::Fail { id } = action {
+            open.remove(&id).expect("one final answer");
+        }
+    }
+    assert!(open.is_empty(), "no request is lost: {open:?}");
+    assert!(ended.values().all(|&n| n == 1));
+    log
+}
