End a connection's dial when its request is over, and have a dial's time end no sooner

Cause: the standard library connects before it hands a stream out, so a cancel found nothing to cut. A request that was given up while it dialled (its client left, or the process had to answer before SIGKILL) kept its thread, its place in the pool and, at the end of the process, its answer until the dial's time was over; with a dial's time beyond SIGKILL's it was never answered. Lines at fault: Loan::stream (pool.rs), the slot's line set only behind it (attempt.rs, send).

--- a/edge/proxy/tests/common/steps.rs
+++ b/edge/proxy/tests/common/steps.rs
@@ -46,6 +46,10 @@
         Client::over(TcpStream::connect(self.serves).unwrap())
     }
 
+    pub fn caches(&self) -> &TcpListener {
+        &self.caches
+    }
+
     /// The next connection to the cache, with the request on it.
     pub fn attempt(&self) -> Attempt {
         let (told, heard) = channel();
--- a/edge/upstream/src/attempt.rs
+++ b/edge/upstream/src/attempt.rs
@@ -67,7 +67,7 @@
         let never = || Unsent::Ended(Outcome::NeverSent);
         let idle = loan.was_idle();
         let stream = self.connection(attempt, loan, until).map_err(Unsent::Ended)?;
-        if !attempt.slot.hold(attempt.target.attempt, Arc::new(Held(stream.clone()))) {
+        if !held(attempt, &stream) {
             return Err(never());
         }
         // Guards against an answer to nobody's request, which would pass for the answer to this one.
@@ -90,7 +90,7 @@
         }
     }
 
-    /// The loan's connection; one that is dialled must come up while the request may still be sent.
+    /// The loan's connection; one that is dialled must come up while the request may still be sent. A cancel ends its dial.
     fn connection(
         &self,
         attempt: &Attempt,
@@ -101,7 +101,8 @@
         if time.is_zero() || attempt.slot.off(attempt.target.attempt) {
             return Err(Outcome::NeverSent);
         }
-        loan.stream(time.min(self.dial_time_out)).map_err(|error| {
+        let dialled = loan.stream_unless(time.min(self.dial_time_out), |dial| !held(attempt, dial));
+        dialled.map_err(|error| {
             let late = !attempt.fetch.may_begin(self.clock.now());
             if late {
                 Outcome::NeverSent
@@ -146,6 +147,11 @@
     }
 }
 
+/// Puts the attempt's connection where a cancel finds it; false if the cancel came first.
+fn held(attempt: &Attempt, stream: &Arc<TcpStream>) -> bool {
+    attempt.slot.hold(attempt.target.attempt, Arc::new(Held(stream.clone())))
+}
+
 /// A connection that ended, or spoke, before a byte of the request was written: nothing ran.
 fn unusable(idle: bool) -> Unsent {
     match idle {
--- a/edge/upstream/src/lib.rs
+++ b/edge/upstream/src/lib.rs
@@ -5,6 +5,7 @@
 //! returned. It implements the core's [`Tries`].
 
 mod attempt;
+mod dial;
 mod head;
 mod proof;
 
--- a/edge/upstream/src/pool.rs
+++ b/edge/upstream/src/pool.rs
@@ -1,6 +1,7 @@
 //! Connections to pop caches, parents and the origin. The pool owns a connection while it is idle and lends it
 //! to an attempt; what is lent comes home when the loan is dropped, and nowhere else. It bounds both together.
 
+use crate::dial;
 use foldmux::interface::CacheId;
 use foldmux_core::members::Start;
 use foldmux_http1::io::quiet;
@@ -17,6 +18,10 @@
     keep: Duration,
 }
 
+/// How long a connection rests before it is preferred to others. A second answer to the same request may come some
+/// milliseconds after the first: on a connection that has rested it is seen before the next request is written.
+const SETTLED: Duration = Duration::from_millis(50);
+
 #[derive(Default)]
 struct State {
     caches: HashMap<CacheId, Shelf>,
@@ -32,6 +37,22 @@
 }
 
 impl Shelf {
+    /// Takes out an idle connection to this start that is alive, if there is one.
+    fn take(&mut self, start: Start, keep: Duration) -> Option<Arc<TcpStream>> {
+        loop {
+            let kept = self.next()?;
+            if kept.start == start && kept.since.elapsed() < keep && quiet(&kept.stream) {
+                return Some(kept.stream);
+            }
+        }
+    }
+
+    /// Of those that have settled the one used last, so that the others may age; else the one that has rested for longest.
+    fn next(&mut self) -> Option<Kept> {
+        let settled = self.idle.partition_point(|kept| kept.since.elapsed() >= SETTLED);
+        (!self.idle.is_empty()).then(|| self.idle.remove(settled.saturating_sub(1)))
+    }
+
     fn is_over(&self) -> bool {
         self.idle.is_empty() && Arc::strong_count(&self.own) == 1
     }
@@ -75,11 +96,24 @@
 
     /// The connection; dialled now where none was idle.
     pub fn stream(&mut self, time_out: Duration) -> io::Result<Arc<TcpStream>> {
+        self.stream_unless(time_out, |_| false)
+    }
+
+    /// As `stream`. A dial is shown to `called_off` before it begins: whoever keeps it may shut it at any moment, which
+    /// ends the dial. None is begun where that says that it was called off by then.
+    pub fn stream_unless(
+        &mut self,
+        time_out: Duration,
+        called_off: impl FnOnce(&Arc<TcpStream>) -> bool,
+    ) -> io::Result<Arc<TcpStream>> {
         if let Some(stream) = &self.stream {
             return Ok(stream.clone());
         }
-        let stream = Arc::new(TcpStream::connect_timeout(&self.start.address, time_out)?);
-        stream.set_nodelay(true)?;
+        let stream = dial::unconnected(self.start.address)?;
+        if called_off(&stream) {
+            return Err(io::ErrorKind::Interrupted.into());
+        }
+        dial::connect(&stream, self.start.address, time_out)?;
         self.stream = Some(stream.clone());
         Ok(stream)
     }
@@ -109,19 +143,13 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The connection last used to this start of the cache, if one is alive, else a place to dial one; none
-    /// where all places are out.
+    /// An idle connection to this start of the cache, if one is alive, else a place to dial one; none where all places
+    /// are out.
     pub fn lend(self: &Arc<Self>, cache: CacheId, start: Start) -> Option<Loan> {
         let mut state = self.state();
-        let mut stream = None;
         let shelf = state.caches.entry(cache).or_default();
         let own = shelf.own.clone();
-        while let Some(kept) = shelf.idle.pop() {
-            if kept.start == start && kept.since.elapsed() < self.keep && quiet(&kept.stream) {
-                stream = Some(kept.stream);
-                break;
-            }
-        }
+        let stream = shelf.take(start, self.keep);
         if stream.is_none() && state.out + state.idle_count() >= self.most {
             // A place that holds an idle connection to another cache is worth less than this request.
             let idle = state.caches.values_mut().filter(|shelf| !shelf.idle.is_empty());
--- a/rigs/standins/src/lib.rs
+++ b/rigs/standins/src/lib.rs
@@ -1,10 +1,12 @@
 //! Stand-ins for tests, the demo and later subsystems, all on loopback: sources that a script makes answer or fail
 //! ([`source`]), caches that fill from sources ([`cache`]), an archive that audits keyed requests
-//! ([`guarded`]), a proxy that asks an external processor ([`caller`]), an issuer of SVIDs ([`issuer`]), the journal service ([`journal`]), clients ([`client`], [`rpc`]).
+//! ([`guarded`]), a proxy that asks an external processor ([`caller`]), an issuer of SVIDs ([`issuer`]), the journal
+//! service ([`journal`]), clients ([`client`], [`rpc`]), and a listener that has no room ([`backlog`]).
 //!
 //! Owns: their sockets and threads, which end when they are dropped. May not: hold what the program under test must
 //! hold, or decide anything for it. Each is written from the protocol's text.
 
+pub mod backlog;
 pub mod cache;
 pub mod caller;
 pub mod client;
