--- a/edge/core/src/desk.rs
+++ b/edge/core/src/desk.rs
@@ -37,6 +37,8 @@
     actions: Vec<Action>,
     /// What servers report, where the settings have reports or probes, and who sends probes.
     reports: Option<(Beside, Option<Box<dyn Probes>>)>,
+    /// When all must be answered, once the process ends.
+    closing: Option<Time>,
 }
 
 impl Desk {
@@ -52,6 +54,7 @@
             timers: BinaryHeap::new(),
             actions: Vec::new(),
             reports: None,
+            closing: None,
         };
         (desk, DeskHandle(sender))
     }
@@ -94,13 +97,14 @@
 
     pub fn take(&mut self, notice: Notice) {
         match notice {
-            Notice::Ask { ask, slot, orders } => {
+            Notice::Ask { mut ask, slot, orders } => {
                 if slot.left() {
                     // Guards against a client that left before its ask came here: no one would end it.
                     orders.order(Order::Over);
                     return;
                 }
                 self.open.insert(ask.id, Open { slot, orders, attempts: 0 });
+                ask.budget = ask.budget.min(self.left_to_close());
                 self.handle(Event::Request(ask));
             }
             Notice::Outcome(report) => self.handle(Event::Outcome(report)),
@@ -116,7 +120,10 @@
                     self.handle(Event::ClientGone { id });
                 }
             }
-            Notice::Closing { by } => self.handle(Event::Closing { by }),
+            Notice::Closing { by } => {
+                self.closing = Some(by);
+                self.handle(Event::Closing { by });
+            }
             Notice::Members { full, listed } => {
                 let listed = self.members.one_at_an_address(full, listed);
                 let members = listed.iter().map(|l| l.member.clone()).collect();
@@ -137,6 +144,12 @@
         }
     }
 
+    /// For how long a request may be open. Guards against one that was read before the end was decided and comes here after
+    /// it: its client's own time may be over only once the process has gone.
+    fn left_to_close(&self) -> Time {
+        self.closing.map_or(Time::MAX, |by| by.saturating_sub(self.clock.now()))
+    }
+
     /// Guards against word of a process that takes no work any more: it may have crossed a drain or a restart.
     fn hear(&mut self, cache: CacheId, start: Start, hear: impl FnOnce(&mut Beside, Time)) {
         let now = self.clock.now();
--- a/edge/upstream/src/pool/tests.rs
+++ b/edge/upstream/src/pool/tests.rs
@@ -2,9 +2,11 @@
 
 use super::*;
 use std::io::Write;
-use std::net::TcpListener;
+use std::net::{SocketAddr, TcpListener};
 
 const CACHE: CacheId = CacheId(1);
+/// Longer than a test takes.
+const HOUR: Duration = Duration::from_secs(3_600);
 
 /// Lends and gives back a connection; the other side of it.
 fn give_back(pool: &Arc<Pool>, listener: &TcpListener, start: Start) -> TcpStream {
@@ -89,3 +91,65 @@
     pool.sweep();
     assert_eq!(pool.count(), (0, 1));
 }
+
+/// The other side of each of three idle connections, in the order in which the pool took them back.
+fn three_idle(pool: &Arc<Pool>, listener: &TcpListener, start: Start) -> Vec<TcpStream> {
+    let loans: Vec<Loan> = (0..3).map(|_| pool.lend(CACHE, start).unwrap()).collect();
+    let dialled = loans.into_iter().map(|mut loan| {
+        loan.stream(Duration::from_secs(5)).unwrap();
+        loan.reusable = true;
+        listener.accept().unwrap().0
+    });
+    dialled.collect()
+}
+
+/// The local address of the connection that is lent next.
+fn lent_next(pool: &Arc<Pool>, start: Start) -> SocketAddr {
+    let mut loan = pool.lend(CACHE, start).unwrap();
+    loan.reusable = true;
+    let stream = loan.stream.as_ref().expect("an idle connection");
+    stream.local_addr().unwrap()
+}
+
+#[test]
+fn a_connection_that_has_just_come_back_rests_while_another_one_is_idle() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let start = Start { boot: 0, address: listener.local_addr().unwrap() };
+    let pool = Pool::new(8, Duration::from_secs(60));
+    let far = three_idle(&pool, &listener, start);
+    let near: Vec<SocketAddr> = far.iter().map(|stream| stream.peer_addr().unwrap()).collect();
+    let came_back = |ages: [Duration; 3]| {
+        let mut state = pool.state();
+        let shelf = state.caches.get_mut(&CACHE).unwrap();
+        shelf.idle.sort_by_key(|kept| near.iter().position(|at| kept.stream.local_addr().unwrap() == *at));
+        let now = Instant::now();
+        // None of them settles while the test runs: what is to be fresh came back in an hour.
+        shelf.idle.iter_mut().zip(ages).for_each(|(kept, age)| kept.since = now + HOUR - age);
+    };
+    let (settled, fresh) = (HOUR + SETTLED, Duration::ZERO);
+    // A late second answer on the third would be seen by whoever takes it later.
+    came_back([settled + SETTLED, settled, fresh]);
+    assert_eq!(lent_next(&pool, start), near[1], "the one used last of those that have settled");
+    came_back([fresh; 3]);
+    assert_eq!(lent_next(&pool, start), near[0], "the one that has rested for longest");
+    came_back([settled; 3]);
+    assert_eq!(lent_next(&pool, start), near[2]);
+}
+
+#[test]
+fn idle_connections_to_caches_that_are_gone_give_their_places_to_whoever_asks() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let start = Start { boot: 0, address: listener.local_addr().unwrap() };
+    let pool = Pool::new(3, Duration::from_secs(60));
+    let far = three_idle(&pool, &listener, start);
+    // The cache is gone, and no list has said so: its connections are idle here until somebody wants their places.
+    drop((far, listener));
+    let other = TcpListener::bind("127.0.0.1:0").unwrap();
+    let live = Start { boot: 0, address: other.local_addr().unwrap() };
+    let mut loans: Vec<Loan> = (0..3).map(|_| pool.lend(CacheId(2), live).expect("a place")).collect();
+    assert_eq!(pool.count(), (3, 0));
+    assert!(loans.iter_mut().all(|loan| loan.stream(Duration::from_secs(5)).is_ok()));
+    assert!(pool.lend(CacheId(2), live).is_none(), "all places are out");
+    loans.truncate(1);
+    assert!(pool.lend(CACHE, start).is_some(), "one came back");
+}
