--- a/edge/proxy/src/config.rs
+++ b/edge/proxy/src/config.rs
@@ -4,9 +4,12 @@
 use crate::line;
 use foldmux_settings::section::{Faults, Section};
 use foldmux_settings::{decode, Decoded};
-use simd_json::OwnedValue;
+use simd_json::{ErrorType, OwnedValue};
 use std::net::SocketAddr;
 use std::path::Path;
+use unique::Unique;
+
+mod unique;
 
 /// Least limits that the program can serve with.
 const LEAST_SOCKETS: usize = 64;
@@ -120,8 +123,13 @@
 
 /// The configuration, or all that is wrong with it.
 pub fn parse(mut bytes: Vec<u8>) -> Result<Config, Unusable> {
-    let document: OwnedValue =
-        simd_json::serde::from_slice(&mut bytes).map_err(|e| Unusable::one(format!("configuration: {e}")))?;
+    let unreadable = |e: simd_json::Error| match e.error() {
+        ErrorType::Serde(why) => Unusable::one(format!("configuration: {why}")),
+        _ => Unusable::one(format!("configuration: {e}")),
+    };
+    // The parser works in its input.
+    let Unique = simd_json::serde::from_slice(&mut bytes.clone()).map_err(unreadable)?;
+    let document: OwnedValue = simd_json::serde::from_slice(&mut bytes).map_err(unreadable)?;
     let faults = Faults::default();
     let config = whole(&Section::new("configuration", &document, &faults));
     match faults.into_lines() {
--- a/edge/proxy/tests/unusable.rs
+++ b/edge/proxy/tests/unusable.rs
@@ -79,6 +79,19 @@
     }
 }
 
+#[test]
+fn a_key_that_stands_twice_in_one_object_is_refused_by_name() {
+    for (is, becomes, key) in [
+        ("\"locality\":1", "\"locality\":1,\"locality\":0", "locality"),
+        ("\"seed\":\"1\"", "\"seed\":\"1\",\"seed\":\"1\"", "seed"),
+        ("\"name\":\"record\"", "\"name\":\"record\",\"slo\":1", "slo"),
+    ] {
+        let lines = said(is, becomes);
+        assert_eq!(lines.len(), 1, "{becomes}: {lines:?}");
+        assert!(lines[0].contains(&format!("key \"{key}\" stands twice in one object")), "{lines:?}");
+    }
+}
+
 #[test]
 fn faults_of_several_kinds_are_a_line_each() {
     let good = good();
