--- a/edge/core/src/core.rs
+++ b/edge/core/src/core.rs
@@ -47,9 +47,9 @@
     /// Whose turn it is at pools of places, where the operator's file has any.
     pub turns: OnceLock<Arc<dyn Turn>>,
     /// Advised with a refusal of the core's own.
-    pub shed_wait: Time,
+    refusal_wait: AtomicU64,
     /// How long after its start a member may still be cold.
-    pub cold_for: Time,
+    cold_for: AtomicU64,
     pub(crate) most: usize,
     pub(crate) open: AtomicUsize,
     /// Requests whose attempts others make; their fronts bound them.
@@ -71,7 +71,7 @@
         buffers: Arc<Buffers>,
         members: Arc<Members>,
         upstream: Box<dyn Tries>,
-        shed_wait: Time,
+        refusal_wait: Time,
         cold_for: Time,
         most: usize,
     ) -> Arc<Core> {
@@ -85,8 +85,8 @@
             limits: OnceLock::new(),
             cover: OnceLock::new(),
             turns: OnceLock::new(),
-            shed_wait,
-            cold_for,
+            refusal_wait: refusal_wait.into(),
+            cold_for: cold_for.into(),
             most,
             open: AtomicUsize::new(0),
             lent: AtomicUsize::new(0),
@@ -111,7 +111,18 @@
     /// Refuses what the program has no room for, before the module hears of it.
     pub(crate) fn shed(&self, class: &Arc<str>, reply: Box<dyn Reply>) {
         self.tally.end(Some(class), End::Shed);
-        reply.answer(Answer::Shed { wait: self.shed_wait });
+        reply.answer(Answer::Shed { wait: self.refusal_wait() });
+    }
+
+    /// Advised with a refusal of the core's own (us).
+    pub fn refusal_wait(&self) -> Time {
+        self.refusal_wait.load(Ordering::Relaxed)
+    }
+
+    /// Other settings: what is advised with a refusal of the core's own, and how long a member may be cold (us).
+    pub fn retune(&self, refusal_wait: Time, cold_for: Time) {
+        self.refusal_wait.store(refusal_wait, Ordering::Relaxed);
+        self.cold_for.store(cold_for, Ordering::Relaxed);
     }
 
     /// Where nearly all places are taken: the share of one in so many that ask.
@@ -121,7 +132,7 @@
 
     /// Whether a member started so lately that it may be cold.
     pub fn cold(&self, now: Time, listed: &Listed) -> bool {
-        listed.member.boot > 0 && now < listed.member.boot + self.cold_for
+        listed.member.boot > 0 && now < listed.member.boot + self.cold_for.load(Ordering::Relaxed)
     }
 
     pub(crate) fn report(&self, id: RequestId, target: &Target, outcome: Outcome, last: bool) {
--- a/edge/core/src/cover.rs
+++ b/edge/core/src/cover.rs
@@ -147,6 +147,6 @@
             let body = ROOM..ROOM + bytes.len();
             (End::Served, Answer::Served(Served { bytes: buffer, body }))
         }
-        _ => (End::Shed, Answer::Shed { wait: core.shed_wait }),
+        _ => (End::Shed, Answer::Shed { wait: core.refusal_wait() }),
     }
 }
--- a/edge/core/src/inquiry.rs
+++ b/edge/core/src/inquiry.rs
@@ -52,6 +52,17 @@
     fn answer(self: Box<Self>, answer: Answer);
 }
 
+/// Taken off what a client says that it waits (us): the request's way here and the answer's way back, which no setting
+/// tells. Over those of a country's width; a wait that is short is a client's that is near.
+const WAYS: Time = 30_000;
+/// At most so small a part of a client's wait is taken off for them.
+const WAYS_PART: Time = 10;
+
+/// Of what a client says that it waits (us), what is left for its request here.
+pub fn without_ways(wait: Time) -> Time {
+    wait.saturating_sub(WAYS.min(wait / WAYS_PART)).max(1)
+}
+
 pub(crate) fn left(deadline: Instant) -> Time {
     deadline.saturating_duration_since(Instant::now()).as_micros() as Time
 }
--- a/edge/core/src/request.rs
+++ b/edge/core/src/request.rs
@@ -87,7 +87,7 @@
 /// The one place where a request lives: admitted, asked, attempted, reported, repeated.
 pub(crate) fn run(core: &Core, inquiry: &Inquiry, slot: &Arc<Slot>, hold: Option<&dyn Hold>) -> Came {
     let shed = |wait| Came::Answer(End::Shed, Answer::Shed { wait });
-    let Some(mut bytes) = core.buffers.lease() else { return shed(core.shed_wait) };
+    let Some(mut bytes) = core.buffers.lease() else { return shed(core.refusal_wait()) };
     let mut deadline = inquiry.arrived + span(inquiry.budget);
     let mut limits = match admit(core, inquiry, slot, deadline) {
         Ok(limits) => limits,
@@ -175,7 +175,7 @@
 fn limited(core: &Core, limits: Option<&Held>) -> (End, Answer) {
     match limits.is_none_or(Held::harmless) {
         true => {
-            let wait = limits.map_or(core.shed_wait, |held| held.advice(core.shed_wait));
+            let wait = limits.map_or(core.refusal_wait(), |held| held.advice(core.refusal_wait()));
             (End::Refused, Answer::Shed { wait })
         }
         false => (End::Failed, Answer::Failed),
--- a/edge/core/src/threads.rs
+++ b/edge/core/src/threads.rs
@@ -15,9 +15,10 @@
 
 /// Stack of a request's thread: its bytes are in pooled buffers.
 const STACK: usize = 128 * 1024;
-/// How long a thread waits for another request before it ends. Some ten thousand times what starting one costs, and short
-/// enough that a burst's threads are given back: a machine bounds the threads of all its processes together.
-const IDLE: Duration = Duration::from_secs(1);
+/// How long a thread waits for another request before it ends. Some thousand times what starting one costs, and short
+/// enough that a burst's threads are given back: a machine bounds the threads of all its processes together. Where requests
+/// come more seldom than this, each has a thread of its own.
+const IDLE: Duration = Duration::from_millis(250);
 
 impl Core {
     /// Starts a request, or sheds it at once where the program is full.
--- a/edge/fronts/extproc/src/front.rs
+++ b/edge/fronts/extproc/src/front.rs
@@ -106,7 +106,7 @@
             No::Ledger(Refusal::Running { until }) => {
                 until.saturating_sub(unix_ms()).saturating_mul(1_000).max(1)
             }
-            _ => self.core.shed_wait,
+            _ => self.core.refusal_wait(),
         };
         let why = no.to_string();
         match no {
--- a/edge/fronts/extproc/src/life.rs
+++ b/edge/fronts/extproc/src/life.rs
@@ -93,7 +93,7 @@
             }
             match heard {
                 Heard::RequestHeaders(_) if open.1 >= front.streams => {
-                    let last = Final::too_many("too many streams", front.core.shed_wait);
+                    let last = Final::too_many("too many streams", front.core.refusal_wait());
                     yield Ok(front.finally(&last));
                     return;
                 }
--- a/edge/fronts/extproc/src/place.rs
+++ b/edge/fronts/extproc/src/place.rs
@@ -9,6 +9,7 @@
 use crate::pb::{HttpHeaders, ProcessingResponse};
 use foldmux::interface::{Outcome, Repeat, Time};
 use foldmux_core::desk::ORDERS;
+use foldmux_core::inquiry::without_ways;
 use foldmux_core::lent::Lent;
 use foldmux_core::Inquiry;
 use foldmux_repeats::token::{Mark, Token};
@@ -17,9 +18,6 @@
 use std::time::Instant;
 use tokio::sync::mpsc;
 
-/// Taken off what a client says it waits (us): the request's way here and the answer's way back.
-const WAYS: Time = 30_000;
-
 /// What the caller is told of a decision.
 pub(crate) enum Decided {
     Placed(Box<Attempt>, ProcessingResponse),
@@ -106,13 +104,13 @@
                     got: None,
                     body: None,
                     arrived,
-                    budget: budget.saturating_sub(WAYS).max(1),
+                    budget: without_ways(budget),
                     front: "ext_proc",
                     caller: caller.clone(),
                     within,
                 };
                 let (sender, orders) = mpsc::channel(ORDERS);
-                let full = || Final::refused("no place for another request", ran, self.core.shed_wait);
+                let full = || Final::refused("no place for another request", ran, self.core.refusal_wait());
                 let lent = Lent::ask(&self.core, &inquiry, 0, Box::new(Sent(sender)), 2 * self.streams)
                     .ok_or_else(full)?;
                 let request = Mark::of(&format!("{:016x}/{serial}", self.salt));
--- a/edge/fronts/src/msgpack/mod.rs
+++ b/edge/fronts/src/msgpack/mod.rs
@@ -7,6 +7,7 @@
 use connection::{Connection, Patience};
 use foldmux::interface::Time;
 use foldmux_core::clock::span;
+use foldmux_core::inquiry::without_ways;
 use foldmux_core::tally::End;
 use foldmux_core::{Core, Inquiry};
 use patient::Patient;
@@ -22,8 +23,6 @@
 
 /// Open requests that one connection carries.
 const OPEN: usize = 32;
-/// Taken off what a client says it waits (us): the request's way here and the answer's way back.
-const WAYS: Time = 30_000;
 /// How long a client may leave an answer unread beyond its own deadline before its connection is closed.
 const SLOW: Duration = Duration::from_millis(500);
 /// Leaving, a request with less time than this before the process must go is refused rather than begun (us).
@@ -182,7 +181,7 @@
             got: asked.got,
             body: call.body,
             arrived,
-            budget: budget.saturating_sub(WAYS).max(1),
+            budget: without_ways(budget),
             front: "msgpack",
             caller: self.nobody.clone(),
             within: None,
@@ -203,7 +202,7 @@
     /// Refuses a call that there is no room or no time for, before the core hears of it.
     fn shed(&self, connection: &Connection, id: u32, taken: &Taken) {
         self.core.tally.end(Some(&taken.name), End::Shed);
-        connection.write(&codec::shed(id, self.core.shed_wait), Patience::Behind(SLOW));
+        connection.write(&codec::shed(id, self.core.refusal_wait()), Patience::Behind(SLOW));
     }
 }
 
--- a/edge/proxy/src/cover/start.rs
+++ b/edge/proxy/src/cover/start.rs
@@ -76,7 +76,7 @@
                 count.fetch_add(1, Ordering::Relaxed);
             }
         })?;
-        let shed_wait = core.shed_wait;
+        let shed_wait = core.refusal_wait();
         let _ = core.cover.set(Arc::new(Covering { classes, line: line.clone(), shed_wait }));
         Ok(Covered { line })
     }
--- a/edge/proxy/src/journal/service.rs
+++ b/edge/proxy/src/journal/service.rs
@@ -101,3 +101,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/edge/proxy/src/reload.rs
+++ b/edge/proxy/src/reload.rs
@@ -1,5 +1,6 @@
 //! What SIGHUP reads again, and the classes as each front takes them.
 
+use crate::advice::refusal_wait;
 use crate::config;
 use crate::fleet::Running;
 use crate::journal::Service;
@@ -40,6 +41,7 @@
     let mut settings = config.decoded.settings.clone();
     tune.take(rules(&config.decoded)).map_err(|refused| format!("configuration: {refused}"))?;
     settings.classes = tune.all().cloned().collect();
+    front.core.retune(refusal_wait(&settings), settings.longest_cold());
     // The module knows the new places before any client can name them.
     front.core.desk.tell(Notice::Retuned(Box::new(settings)));
     // Which member is a parent, the origin or a neighbour follows from the settings: it is worked out anew.
--- a/edge/proxy/src/server.rs
+++ b/edge/proxy/src/server.rs
@@ -1,5 +1,6 @@
 //! Puts the parts together and runs them: the desk, the core, the journal, the fronts, and the end.
 
+use crate::advice::refusal_wait;
 use crate::backoff::Backoff;
 use crate::config::Config;
 use crate::fleet::{self, parts::Own};
@@ -10,7 +11,7 @@
 use crate::started::Started;
 use crate::wiring::{Live, Zones};
 use crate::{limits, reports};
-use foldmux::interface::{Repeat, Time};
+use foldmux::interface::Repeat;
 use foldmux::Router;
 use foldmux_core::buffers::Buffers;
 use foldmux_core::clock::{span, Clock};
@@ -40,8 +41,6 @@
 /// The exit code where the desk has ended.
 const DESK_ENDED: i32 = 3;
 const TALLY_EVERY: Duration = Duration::from_secs(5);
-/// Advised with a refusal of the core's own (us), where clients follow as much.
-pub(crate) const SHED_WAIT: Time = 300_000;
 
 /// The desk ends only by a fault: then nothing can be decided any more, and the platform must see it.
 fn run_desk(desk: Desk) {
@@ -69,8 +68,7 @@
     let clock = Clock::default();
     let members = Arc::new(Members::default());
     let pool = Pool::new(bounds.upstream, span(decoded.keep_alive));
-    let shed_wait = decoded.settings.retry_after.map_or(0, |longest| SHED_WAIT.min(longest));
-    let cold_for = decoded.settings.cache_cold_for.max(decoded.settings.parent_cold_for);
+    let (shed_wait, cold_for) = (refusal_wait(&decoded.settings), decoded.settings.longest_cold());
     let classes: Vec<Arc<str>> = decoded.classes.iter().map(|c| c.as_str().into()).collect();
     let taken = served(&tune);
     let own = Own {
--- a/edge/proxy/src/turns.rs
+++ b/edge/proxy/src/turns.rs
@@ -4,8 +4,8 @@
 mod pool;
 mod weights;
 
+use crate::advice::LONGEST;
 use crate::fleet::parts::seats;
-use crate::server::SHED_WAIT;
 use crate::turns::pool::{Pool, TurnPlace, Word};
 use crate::turns::weights::{keyed, weights};
 use crossbeam_channel::{bounded, Sender};
@@ -227,7 +227,7 @@
         wanted.slot.release();
         match heard {
             Some(Word::Go(used)) => Ok(Some(Box::new(TurnPlace::new(pool, used)))),
-            Some(Word::Late) => Err(pool.advice(SHED_WAIT)),
+            Some(Word::Late) => Err(pool.advice(LONGEST)),
             _ => {
                 // It may have been told in this moment: then its slot comes back with the place.
                 if !pool.left(request.id, ticket) {
@@ -236,7 +236,7 @@
                         Word::Late | Word::Left => {}
                     });
                 }
-                Err(pool.advice(SHED_WAIT))
+                Err(pool.advice(LONGEST))
             }
         }
     }
--- a/src/router/retry.rs
+++ b/src/router/retry.rs
@@ -4,8 +4,8 @@
 
 /// A request that so many caches answer with an error is at fault itself.
 const ERRORS_MOST: usize = 2;
-/// Least wait advised with a refusal, and the most that chance adds (us).
-const RETRY_AFTER: (Time, Time) = (200_000, 200_000);
+/// Least wait advised with a refusal (us), at most a tenth of the class's deadline; chance up to doubles it.
+const RETRY_AFTER: Time = 200_000;
 
 impl Router {
     pub(super) fn on_outcome(&mut self, now: Time, report: Report, out: &mut Vec<Action>) {
@@ -85,9 +85,10 @@
         let Some(request) = self.requests.get(&id) else { return };
         let mut left = self.attempts.range((id, 0)..=(id, u8::MAX));
         let ran = request.may_have_run.is_some() || request.within.is_some() || left.next().is_some();
-        let repeat = self.settings.classes[request.class].repeat;
+        let Class { repeat, deadline, .. } = self.settings.classes[request.class];
         let refuse = !ran || matches!(repeat, Repeat::Safe | Repeat::Keyed(Group::All));
-        let wait = RETRY_AFTER.0 + self.draw(RETRY_AFTER.1);
+        let least = RETRY_AFTER.min(deadline / 10);
+        let wait = least + self.draw(least);
         let retry_after = self.settings.retry_after.map_or(0, |longest| wait.min(longest));
         out.push(if refuse { Action::Refuse { id, retry_after } } else { Action::Fail { id } });
         self.close(id, out);
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -205,3 +205,18 @@
         assert!((30..41).contains(&fetch.source.0) && !fetch.hold_only, "{k}: {fetch:?}");
     }
 }
+
+#[test]
+fn a_refusal_leaves_a_client_with_little_time_the_time_to_come_again() {
+    for (deadline, least) in [(500 * MS, 50 * MS), (2 * SECOND, 200 * MS), (9 * SECOND, 200 * MS)] {
+        let mut told = settings();
+        told.classes[0].deadline = deadline;
+        let mut front = Front::new(told, Vec::new());
+        for object in 0..50 {
+            let (id, actions) = front.request(0, object);
+            let [Action::Refuse { id: refused, retry_after }] = actions[..] else { panic!("{actions:?}") };
+            assert_eq!(refused, id);
+            assert!((least..2 * least).contains(&retry_after), "{retry_after} of {deadline}");
+        }
+    }
+}
