Ask check-config before serve in the tests of unusable configurations

A text that is taken by mistake made the test wait for ever on a program that serves: seen with the look for repeated keys taken out, where it hung for 20 minutes in place of failing.

--- a/edge/proxy/tests/unusable.rs
+++ b/edge/proxy/tests/unusable.rs
@@ -28,9 +28,11 @@
     let good = good();
     assert!(good.contains(is), "{is}");
     let text = good.replacen(is, becomes, 1);
-    let [started, checked] = ["serve", "check-config"].map(|command| ran(command, &text));
+    // This first: what it takes by mistake, `serve` would serve with for ever.
+    let checked = ran("check-config", &text);
+    assert_eq!(checked.status.code(), Some(1), "{becomes}: {:?}", lines(&checked));
+    let started = ran("serve", &text);
     assert_eq!(started.status.code(), Some(1), "{becomes}: {:?}", lines(&started));
-    assert_eq!(checked.status.code(), Some(1), "{becomes}");
     assert_eq!(lines(&started), lines(&checked), "{becomes}: both say the same");
     lines(&started)
 }
