Take 30 ms off a client's wait for both ways again, whatever the wait is

A client's retry carries what is left of its time, and the module looks at what is overdue every 25 ms, so that with less taken off the refusal comes after the client's time. It stays in one place for both fronts.

--- a/edge/core/src/inquiry.rs
+++ b/edge/core/src/inquiry.rs
@@ -52,15 +52,14 @@
     fn answer(self: Box<Self>, answer: Answer);
 }
 
-/// Taken off what a client says that it waits (us): the request's way here and the answer's way back, which no setting
-/// tells. Over those of a country's width; a wait that is short is a client's that is near.
+/// Taken off what a client says that it waits (us): the request's way here, the answer's way back, and the time between two
+/// looks of the module's at what is overdue (25 ms). None of these is less where the wait is: a retry has what is left of
+/// its client's time, and with a tenth of that taken off some were answered too late.
 const WAYS: Time = 30_000;
-/// At most so small a part of a client's wait is taken off for them.
-const WAYS_PART: Time = 10;
 
 /// Of what a client says that it waits (us), what is left for its request here.
 pub fn without_ways(wait: Time) -> Time {
-    wait.saturating_sub(WAYS.min(wait / WAYS_PART)).max(1)
+    wait.saturating_sub(WAYS).max(1)
 }
 
 pub(crate) fn left(deadline: Instant) -> Time {
