Tell why each client connection ended and why each request was not served

Each refusal and failure now carries a reason of one enumerated type; it is counted (a line beside the counts, each 5 s) and told with the request's id, its attempts and how they ended. Each end of a client's connection is told with its number, its peer, the reason with the error of the call, and the ids of the requests that were given up with it.

--- a/edge/core/src/core.rs
+++ b/edge/core/src/core.rs
@@ -5,18 +5,22 @@
 use crate::buffers::Buffers;
 use crate::clock::Clock;
 use crate::cover::{Cover, Hold};
+use crate::history::History;
 use crate::inquiry::{Answer, Inquiry, Reply};
 use crate::limits::Limiter;
 use crate::members::{Listed, Members};
 use crate::orders::{DeskHandle, Notice, Target};
+use crate::reasons::Reason;
 use crate::slot::Slot;
 use crate::tally::{End, Tally};
+use crate::throttle::Throttle;
 use crate::turn::Turn;
 use crossbeam_channel::Sender;
 use foldmux::interface::*;
 use std::collections::HashSet;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::time::Instant;
 
 pub(crate) struct Job {
     pub(crate) _claim: Claim,
@@ -40,6 +44,8 @@
     pub members: Arc<Members>,
     pub upstream: Box<dyn Tries>,
     pub tally: Tally,
+    /// How many lines the log has for requests that were not served.
+    pub unserved_lines: Throttle,
     /// Limits by class and route, where the operator's file has them.
     pub limits: OnceLock<Arc<Limiter>>,
     /// Who keeps the records of covered requests, where the operator's file has a fleet.
@@ -82,6 +88,7 @@
             members,
             upstream,
             tally: Tally::default(),
+            unserved_lines: Throttle::new(Instant::now()),
             limits: OnceLock::new(),
             cover: OnceLock::new(),
             turns: OnceLock::new(),
@@ -109,11 +116,22 @@
     }
 
     /// Refuses what the program has no room for, before the module hears of it.
-    pub(crate) fn shed(&self, class: &Arc<str>, reply: Box<dyn Reply>) {
-        self.tally.end(Some(class), End::Shed);
+    pub(crate) fn shed(&self, inquiry: &Inquiry, reason: Reason, reply: Box<dyn Reply>) {
+        self.count_end(inquiry, End::Shed(reason), &History::default());
         reply.answer(Answer::Shed { wait: self.refusal_wait() });
     }
 
+    /// Counts how a request ended. One that was not served gets a line in the log with its id, why, and what was tried for
+    /// it, as far as the log has lines for that.
+    pub(crate) fn count_end(&self, inquiry: &Inquiry, end: End, history: &History) {
+        self.tally.end(Some(&inquiry.class_name), end);
+        if end.reason().is_none() || !self.unserved_lines.admits(Instant::now()) {
+            return;
+        }
+        let (class, after) = (&inquiry.class_name, inquiry.arrived.elapsed().as_millis());
+        tracing::info!("request {:016x} class {class}: {end}; {history}; after {after} ms", inquiry.via);
+    }
+
     /// Advised with a refusal of the core's own (us).
     pub fn refusal_wait(&self) -> Time {
         self.refusal_wait.load(Ordering::Relaxed)
--- a/edge/core/src/cover.rs
+++ b/edge/core/src/cover.rs
@@ -4,7 +4,9 @@
 use crate::buffers::Lease;
 use crate::clock::span;
 use crate::core::Core;
+use crate::history::History;
 use crate::inquiry::{Answer, Inquiry, Reply, Served};
+use crate::reasons::Reason;
 use crate::request::{run, Came};
 use crate::slot::Slot;
 use crate::tally::End;
@@ -79,15 +81,16 @@
 ) {
     let deadline = inquiry.arrived + span(inquiry.budget);
     let mut again = false;
+    let mut history = History::default();
     loop {
         let (end, answer) = match cover.claim(&inquiry, deadline, again) {
-            Claimed::Uncovered => match run(core, &inquiry, slot, None) {
+            Claimed::Uncovered => match run(core, &inquiry, slot, None, &mut history) {
                 Came::Answer(end, answer) => (end, answer),
                 Came::Over | Came::Lost => return,
             },
             Claimed::Mine(hold) => {
                 inquiry.within = hold.within();
-                match own(core, &inquiry, slot, &*hold) {
+                match own(core, &inquiry, slot, &*hold, &mut history) {
                     Some(Came::Answer(end, answer)) => (end, answer),
                     Some(Came::Over) => return,
                     Some(Came::Lost) | None => {
@@ -98,23 +101,29 @@
                 }
             }
             Claimed::Kept(kept) => give(core, &inquiry, kept),
-            Claimed::Refused { wait } => (End::Shed, Answer::Shed { wait }),
-            Claimed::Failed => (End::Failed, Answer::Failed),
+            Claimed::Refused { wait } => (End::Shed(Reason::Replicas), Answer::Shed { wait }),
+            Claimed::Failed => (End::Failed(Reason::Replicas), Answer::Failed),
         };
-        core.tally.end(Some(&inquiry.class_name), end);
+        core.count_end(&inquiry, end, &history);
         return reply.answer(answer);
     }
 }
 
 /// A request that was taken over, with no client of its own: its answer is kept, and given to nobody here.
 pub(crate) fn finish(core: &Core, inquiry: Inquiry, slot: &Arc<Slot>, hold: &dyn Hold) {
-    own(core, &inquiry, slot, hold);
+    own(core, &inquiry, slot, hold, &mut History::default());
 }
 
 /// Runs what this process owns, and keeps its answer before anybody is given it. None: it could not be kept.
-fn own(core: &Core, inquiry: &Inquiry, slot: &Arc<Slot>, hold: &dyn Hold) -> Option<Came> {
-    let came = run(core, inquiry, slot, Some(hold));
-    let Came::Answer(_, answer) = &came else { return Some(came) };
+fn own(
+    core: &Core,
+    inquiry: &Inquiry,
+    slot: &Arc<Slot>,
+    hold: &dyn Hold,
+    history: &mut History,
+) -> Option<Came> {
+    let came = run(core, inquiry, slot, Some(hold), history);
+    let Came::Answer(end, answer) = &came else { return Some(came) };
     let kept = match answer {
         Answer::Served(served) => Final::Served(served.bytes[served.body.clone()].into()),
         Answer::Same => Final::Same,
@@ -127,7 +136,10 @@
     };
     let failed = kept == Final::Failed;
     match hold.done(kept) {
-        true if failed => Some(Came::Answer(End::Failed, Answer::Failed)),
+        true if failed => {
+            let reason = end.reason().unwrap_or(Reason::Replicas);
+            Some(Came::Answer(End::Failed(reason), Answer::Failed))
+        }
         true => Some(came),
         false => None,
     }
@@ -138,7 +150,7 @@
         Final::Served(bytes) => bytes,
         Final::Same if inquiry.got.is_some() => return (End::Same, Answer::Same),
         // Kept for a client that held a copy, and this one holds none.
-        Final::Same | Final::Failed => return (End::Failed, Answer::Failed),
+        Final::Same | Final::Failed => return (End::Failed(Reason::Replicas), Answer::Failed),
     };
     let buffer: Option<Lease> = core.buffers.lease();
     match buffer {
@@ -147,6 +159,6 @@
             let body = ROOM..ROOM + bytes.len();
             (End::Served, Answer::Served(Served { bytes: buffer, body }))
         }
-        _ => (End::Shed, Answer::Shed { wait: core.refusal_wait() }),
+        _ => (End::Shed(Reason::NoBuffer), Answer::Shed { wait: core.refusal_wait() }),
     }
 }
--- a/edge/core/src/lib.rs
+++ b/edge/core/src/lib.rs
@@ -4,7 +4,8 @@
 //! of a request ([`request`], on the threads of [`threads`]) and of one whose attempts somebody else makes ([`lent`]), what
 //! they share ([`core`]), what it asks of whoever covers requests ([`cover`]), whose turn it is in front of an attempt
 //! ([`turn`]), the list of members ([`members`]), the limits in service ([`limits`]), the buffers
-//! ([`buffers`]), the clock ([`clock`]), the counts ([`tally`]).
+//! ([`buffers`]), the clock ([`clock`]), the counts ([`tally`]), why a request was refused or failed ([`reasons`]) and how many
+//! lines the log has for that ([`throttle`]).
 //!
 //! May not: open, read or write a socket, or know how a request came or an attempt is made. Fronts hand it an
 //! [`Inquiry`] and a [`Reply`]; whoever makes attempts implements [`attempt::Tries`]. It depends on the module and the
@@ -17,15 +18,18 @@
 pub mod core;
 pub mod cover;
 pub mod desk;
+mod history;
 pub mod inquiry;
 pub mod lent;
 pub mod limits;
 pub mod members;
 pub mod orders;
+pub mod reasons;
 pub mod request;
 pub mod slot;
 pub mod tally;
 pub mod threads;
+pub mod throttle;
 pub mod turn;
 
 pub use crate::core::Core;
--- a/edge/core/src/request.rs
+++ b/edge/core/src/request.rs
@@ -5,10 +5,12 @@
 use crate::clock::span;
 use crate::core::Core;
 use crate::cover::{self, Hold, Intended};
+use crate::history::History;
 pub use crate::inquiry::Inquiry;
 use crate::inquiry::{ask, left, Answer, Reply, Served};
 use crate::limits::Held;
 use crate::orders::{Notice, Order, Target, ORDERS};
+use crate::reasons::Reason;
 pub use crate::slot::Slot;
 use crate::tally::End;
 use crate::turn;
@@ -78,20 +80,29 @@
     if let Some(cover) = core.cover.get() {
         return cover::serve(core, &**cover, inquiry, slot, reply);
     }
-    if let Came::Answer(end, answer) = run(core, &inquiry, slot, None) {
-        core.tally.end(Some(&inquiry.class_name), end);
+    let mut history = History::default();
+    if let Came::Answer(end, answer) = run(core, &inquiry, slot, None, &mut history) {
+        core.count_end(&inquiry, end, &history);
         reply.answer(answer);
     }
 }
 
 /// The one place where a request lives: admitted, asked, attempted, reported, repeated.
-pub(crate) fn run(core: &Core, inquiry: &Inquiry, slot: &Arc<Slot>, hold: Option<&dyn Hold>) -> Came {
-    let shed = |wait| Came::Answer(End::Shed, Answer::Shed { wait });
-    let Some(mut bytes) = core.buffers.lease() else { return shed(core.refusal_wait()) };
+pub(crate) fn run(
+    core: &Core,
+    inquiry: &Inquiry,
+    slot: &Arc<Slot>,
+    hold: Option<&dyn Hold>,
+    history: &mut History,
+) -> Came {
+    let shed = |reason, wait| Came::Answer(End::Shed(reason), Answer::Shed { wait });
+    let Some(mut bytes) = core.buffers.lease() else {
+        return shed(Reason::NoBuffer, core.refusal_wait());
+    };
     let mut deadline = inquiry.arrived + span(inquiry.budget);
     let mut limits = match admit(core, inquiry, slot, deadline) {
         Ok(limits) => limits,
-        Err(Turned::Away { wait }) => return shed(wait),
+        Err(Turned::Away { wait }) => return shed(Reason::Limits, wait),
         Err(Turned::Left) => return Came::Over,
     };
     limits.iter().for_each(|held| deadline = deadline.min(held.deadline(inquiry.arrived)));
@@ -152,15 +163,16 @@
                 match got {
                     Some(Got::Body(body)) => break (End::Served, Answer::Served(Served { bytes, body })),
                     Some(Got::Same) => break (End::Same, Answer::Same),
-                    None => {}
+                    None => history.add(fetch.cache, outcome),
                 }
             }
             Ok(Order::Refuse { wait }) => {
                 let wait = limits.as_ref().map_or(wait, |held| held.advice(wait));
-                break (End::Refused, Answer::Shed { wait });
+                break (End::Refused(Reason::Module), Answer::Shed { wait });
             }
             Ok(Order::Over) => return Came::Over,
-            Ok(Order::Fail) | Err(_) => break (End::Failed, Answer::Failed),
+            Ok(Order::Fail) => break (End::Failed(Reason::Module), Answer::Failed),
+            Err(_) => break (End::Failed(Reason::NoDecision), Answer::Failed),
         }
     };
     Came::Answer(end, answer)
@@ -176,16 +188,19 @@
     match limits.is_none_or(Held::harmless) {
         true => {
             let wait = limits.map_or(core.refusal_wait(), |held| held.advice(core.refusal_wait()));
-            (End::Refused, Answer::Shed { wait })
+            (End::Refused(Reason::Limits), Answer::Shed { wait })
         }
-        false => (End::Failed, Answer::Failed),
+        false => (End::Failed(Reason::Limits), Answer::Failed),
     }
 }
 
 /// The final answer where its turn did not come in time: refused where trying again is harmless, else failed.
 fn turned_away(limits: Option<&Held>, ran: bool, wait: Time) -> (End, Answer) {
     match !ran || limits.is_some_and(Held::harmless) {
-        true => (End::Refused, Answer::Shed { wait: limits.map_or(wait, |held| held.advice(wait)) }),
-        false => (End::Failed, Answer::Failed),
+        true => {
+            let wait = limits.map_or(wait, |held| held.advice(wait));
+            (End::Refused(Reason::Turn), Answer::Shed { wait })
+        }
+        false => (End::Failed(Reason::Turn), Answer::Failed),
     }
 }
--- a/edge/core/src/threads.rs
+++ b/edge/core/src/threads.rs
@@ -2,7 +2,9 @@
 
 use crate::core::{Claim, Core, Job, Work};
 use crate::cover::{self, Hold};
+use crate::history::History;
 use crate::inquiry::{Answer, Inquiry, Reply};
+use crate::reasons::Reason;
 use crate::request::serve;
 use crate::slot::Slot;
 use crate::tally::End;
@@ -20,17 +22,24 @@
 /// come more seldom than this, each has a thread of its own.
 const IDLE: Duration = Duration::from_millis(250);
 
+/// A job for which there is no thread.
+struct NotGiven {
+    job: Box<Job>,
+    reason: Reason,
+}
+
 impl Core {
     /// Starts a request, or sheds it at once where the program is full.
     pub fn start(self: &Arc<Core>, inquiry: Inquiry, slot: Arc<Slot>, reply: Box<dyn Reply>) {
         // Guards against a request under the id of an open one: a cache would take them for one request.
         let Some(claim) = Claim::on(self, inquiry.via) else {
-            self.tally.end(Some(&inquiry.class_name), End::Failed);
+            self.count_end(&inquiry, End::Failed(Reason::IdInUse), &History::default());
             return reply.answer(Answer::Failed);
         };
-        if let Some(job) = self.give(Job { _claim: claim, inquiry, slot, work: Work::Client(reply) }) {
+        let given = self.give(Job { _claim: claim, inquiry, slot, work: Work::Client(reply) });
+        if let Err(NotGiven { job, reason }) = given {
             if let Work::Client(reply) = job.work {
-                self.shed(&job.inquiry.class_name, reply);
+                self.shed(&job.inquiry, reason, reply);
             }
         }
     }
@@ -38,25 +47,27 @@
     /// Starts a request that was taken over; false where the program is full: then it is let go.
     pub fn start_taken(self: &Arc<Core>, inquiry: Inquiry, slot: Arc<Slot>, hold: Box<dyn Hold>) -> bool {
         let Some(claim) = Claim::on(self, inquiry.via) else { return false };
-        self.give(Job { _claim: claim, inquiry, slot, work: Work::Taken(hold) }).is_none()
+        self.give(Job { _claim: claim, inquiry, slot, work: Work::Taken(hold) }).is_ok()
     }
 
     /// Gives a thread the job, or the job back where there is no room for it.
-    fn give(self: &Arc<Core>, job: Job) -> Option<Job> {
-        let refused = if self.open.fetch_add(1, Ordering::SeqCst) >= self.most {
-            Some(job)
+    fn give(self: &Arc<Core>, job: Job) -> Result<(), NotGiven> {
+        let given = if self.open.fetch_add(1, Ordering::SeqCst) >= self.most {
+            Err(NotGiven { job: Box::new(job), reason: Reason::RequestsFull })
         } else {
             let idle = self.idle().pop();
             match idle.map(Ok).unwrap_or_else(|| self.spawn()) {
-                Ok(thread) => thread.send(job).err().map(|e| e.0),
+                Ok(thread) => {
+                    thread.send(job).map_err(|e| NotGiven { job: Box::new(e.0), reason: Reason::NoThread })
+                }
                 // The machine gives no more threads; those that there are serve on.
-                Err(_) => Some(job),
+                Err(_) => Err(NotGiven { job: Box::new(job), reason: Reason::NoThread }),
             }
         };
-        if refused.is_some() {
+        if given.is_err() {
             self.open.fetch_sub(1, Ordering::SeqCst);
         }
-        refused
+        given
     }
 
     fn idle(&self) -> MutexGuard<'_, Vec<Sender<Job>>> {
--- a/edge/fronts/extproc/src/front.rs
+++ b/edge/fronts/extproc/src/front.rs
@@ -7,6 +7,7 @@
 use crate::pb::ProcessingResponse;
 use foldmux::interface::{Repeat, Time};
 use foldmux_core::clock::span;
+use foldmux_core::reasons::Reason;
 use foldmux_core::tally::End;
 use foldmux_core::Core;
 use foldmux_repeats::ledger::{Refusal, Rule};
@@ -93,8 +94,8 @@
         let (count, end) = match last.status {
             400 => (&self.counts.unusable, End::Unusable),
             404 => (&self.counts.unmatched, End::Unusable),
-            504 => (&self.counts.given_up, End::Failed),
-            _ => (&self.counts.refused, End::Refused),
+            504 => (&self.counts.given_up, End::Failed(Reason::Processor)),
+            _ => (&self.counts.refused, End::Refused(Reason::Processor)),
         };
         self.count(count);
         self.core.tally.end(None, end);
--- a/edge/fronts/src/msgpack/connection.rs
+++ b/edge/fronts/src/msgpack/connection.rs
@@ -1,5 +1,6 @@
 //! One client's connection: the calls that are open on it, and whose turn it is to write.
 
+use super::end::EndReason;
 use crate::closing::{cut, discard, Discard};
 use crate::places::Place;
 use foldmux_core::request::Slot;
@@ -13,15 +14,24 @@
 /// Longest that a write waits where its time is over already: what the socket takes at once still goes.
 const LAST_WRITE: Duration = Duration::from_millis(1);
 
+/// A call that is open on a connection.
+pub(super) struct OpenCall {
+    pub slot: Arc<Slot>,
+    /// The client's id of its request.
+    pub request: u64,
+}
+
 pub(super) struct Connection {
     pub place: Place,
     /// The calls that are open, by their numbers.
-    calls: Mutex<HashMap<u32, Arc<Slot>>>,
+    calls: Mutex<HashMap<u32, OpenCall>>,
     /// Somebody writes a message.
     writing: Mutex<bool>,
     written: Condvar,
     /// A message could not be written whole: the client can read nothing more.
     broken: AtomicBool,
+    /// Why it could not, where that is so; taken by whoever tells of the connection's end.
+    write_failure: Mutex<Option<EndReason>>,
 }
 
 /// Until when a message may wait for its turn, and take to be written.
@@ -41,6 +51,7 @@
             writing: Mutex::default(),
             written: Condvar::new(),
             broken: AtomicBool::new(false),
+            write_failure: Mutex::default(),
         }
     }
 
@@ -48,28 +59,39 @@
         &self.place.stream
     }
 
-    fn calls(&self) -> MutexGuard<'_, HashMap<u32, Arc<Slot>>> {
+    fn calls(&self) -> MutexGuard<'_, HashMap<u32, OpenCall>> {
         self.calls.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Takes a call; false where `most` are open. Called while its message counts as open on the connection.
-    pub fn open(&self, id: u32, slot: &Arc<Slot>, most: usize) -> bool {
+    pub fn open(&self, id: u32, call: OpenCall, most: usize) -> bool {
         let mut calls = self.calls();
         if calls.len() >= most {
             return false;
         }
-        calls.insert(id, slot.clone());
+        calls.insert(id, call);
         self.place.owe();
         true
     }
 
     /// Whoever gets the slot out owes the call's end: its answer, or word that the client left.
     pub fn close(&self, id: u32) -> Option<Arc<Slot>> {
-        self.calls().remove(&id)
+        self.calls().remove(&id).map(|call| call.slot)
+    }
+
+    pub fn close_all(&self) -> Vec<OpenCall> {
+        self.calls().drain().map(|(_, call)| call).collect()
+    }
+
+    /// Why a message could not be written whole, told once.
+    pub fn take_write_failure(&self) -> Option<EndReason> {
+        self.write_failure.lock().unwrap_or_else(PoisonError::into_inner).take()
     }
 
-    pub fn close_all(&self) -> Vec<Arc<Slot>> {
-        self.calls().drain().map(|(_, slot)| slot).collect()
+    /// A message could not be written whole: the connection ends.
+    fn fail(&self, reason: EndReason) {
+        self.write_failure.lock().unwrap_or_else(PoisonError::into_inner).get_or_insert(reason);
+        self.cut();
     }
 
     /// Whether nothing can be told to the client any more.
@@ -105,7 +127,9 @@
             match wrote {
                 Ok(count) if count > 0 => left = &left[count..],
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                _ => self.cut(),
+                Err(e) if e.kind() == ErrorKind::WouldBlock => self.fail(EndReason::NotTaken),
+                Err(e) => self.fail(EndReason::WriteFailed(e)),
+                Ok(_) => self.fail(EndReason::WriteFailed(ErrorKind::WriteZero.into())),
             }
         }
     }
--- /dev/null
+++ b/edge/fronts/src/msgpack/end.rs
@@ -0,0 +1,67 @@
+//! Why a client's connection ended, told in the log with what was open on it.
+
+use foldmux_core::throttle::Throttle;
+use std::fmt;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+/// Requests that one line names; the others are counted.
+const NAMED: usize = 8;
+
+/// Why a client's connection ended.
+#[derive(Debug)]
+pub(super) enum EndReason {
+    /// The client closed, or stopped writing.
+    ClientClosed,
+    /// Reading from it failed.
+    ReadFailed(std::io::Error),
+    /// Writing an answer to it failed.
+    WriteFailed(std::io::Error),
+    /// The client did not take an answer in its time.
+    NotTaken,
+    /// What came can't be read as a message.
+    Unreadable(&'static str),
+    /// A message did not come whole in its time.
+    HalfMessage,
+    /// Nothing was asked or owed for as long as a connection may rest.
+    Idle,
+    /// Our side had ended it: to make way, with the last answer, or because the process leaves.
+    EndedHere,
+}
+
+impl fmt::Display for EndReason {
+    fn fmt(&self, out: &mut fmt::Formatter) -> fmt::Result {
+        match self {
+            EndReason::ClientClosed => out.write_str("the client closed"),
+            EndReason::ReadFailed(error) => write!(out, "a read failed: {error}"),
+            EndReason::WriteFailed(error) => write!(out, "a write failed: {error}"),
+            EndReason::NotTaken => out.write_str("the client did not take an answer in its time"),
+            EndReason::Unreadable(why) => write!(out, "a message can't be read: {why}"),
+            EndReason::HalfMessage => out.write_str("a message did not come whole in its time"),
+            EndReason::Idle => out.write_str("idle"),
+            EndReason::EndedHere => out.write_str("ended by this side"),
+        }
+    }
+}
+
+/// Tells of an end: a line at the level INFO where requests were given up with it, and at DEBUG where none was.
+pub(super) fn tell(
+    lines: &Throttle,
+    client: Option<SocketAddr>,
+    number: u64,
+    reason: &EndReason,
+    given_up: &[u64],
+) {
+    let client = client.map_or_else(|| "a client that has gone".to_string(), |address| address.to_string());
+    if given_up.is_empty() {
+        tracing::debug!("connection {number} of {client}: {reason}");
+        return;
+    }
+    if !lines.admits(Instant::now()) {
+        return;
+    }
+    let named: Vec<String> = given_up.iter().take(NAMED).map(|id| format!("{id:016x}")).collect();
+    let more = given_up.len().saturating_sub(NAMED);
+    let named = named.join(", ");
+    tracing::info!("connection {number} of {client}: {reason}; given up: {named} and {more} more");
+}
--- a/edge/fronts/src/msgpack/mod.rs
+++ b/edge/fronts/src/msgpack/mod.rs
@@ -4,21 +4,25 @@
 use crate::places::Place;
 use answering::Answering;
 use codec::{Asked, Call, Heard, Unread};
-use connection::{Connection, Patience};
+use connection::{Connection, OpenCall, Patience};
+use end::EndReason;
 use foldmux::interface::Time;
 use foldmux_core::clock::span;
 use foldmux_core::inquiry::without_ways;
+use foldmux_core::reasons::Reason;
 use foldmux_core::tally::End;
+use foldmux_core::throttle::Throttle;
 use foldmux_core::{Core, Inquiry};
 use patient::Patient;
 use std::io::BufReader;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock, PoisonError, RwLock};
 use std::time::{Duration, Instant};
 
 mod answering;
 pub mod codec;
 mod connection;
+mod end;
 mod patient;
 
 /// Open requests that one connection carries.
@@ -52,14 +56,18 @@
     pub leave_by: Arc<OnceLock<Instant>>,
     /// Callers of this front prove no identity.
     pub nobody: Arc<str>,
+    /// Connections taken so far: the log names each by its number.
+    pub connections: AtomicU64,
+    /// How many lines the log has for connections that ended with requests open.
+    pub end_lines: Throttle,
 }
 
 /// Why no more calls are read from a connection.
 enum Stopped {
     /// The client closed, or nothing can be told to it any more.
-    Gone,
+    Gone(EndReason),
     /// Nothing more that it sends is taken: it can't be read, or it came too late.
-    Unreadable,
+    Unreadable(EndReason),
 }
 
 impl Front {
@@ -70,15 +78,22 @@
 
     /// Serves one connection until it ends; called on a thread of its own.
     pub fn serve(&self, place: Place) {
+        let number = self.connections.fetch_add(1, Ordering::Relaxed);
         let connection = Arc::new(Connection::new(place));
+        let client = connection.stream().peer_addr().ok();
         let stopped = self.read(&connection);
         // Also where our side has ended already: then the client has a while to close.
-        if matches!(stopped, Stopped::Unreadable) || connection.place.ended_for().is_some() {
+        if matches!(stopped, Stopped::Unreadable(_)) || connection.place.ended_for().is_some() {
             connection.end_when_answered();
         }
         // Whatever is open yet, its client has closed: it wants none of its answers.
-        connection.close_all().into_iter().for_each(|slot| self.core.leave(&slot));
+        let given_up = connection.close_all();
+        given_up.iter().for_each(|call| self.core.leave(&call.slot));
         connection.cut();
+        let given_up: Vec<u64> = given_up.iter().map(|call| call.request).collect();
+        let (Stopped::Gone(reason) | Stopped::Unreadable(reason)) = stopped;
+        let reason = connection.take_write_failure().unwrap_or(reason);
+        end::tell(&self.end_lines, client, number, &reason, &given_up);
     }
 
     /// Reads messages and deals with each, until no more are taken.
@@ -93,7 +108,7 @@
             let heard = codec::read(&mut reader, &self.core.buffers);
             let arrived = Instant::now();
             if connection.is_broken() {
-                return Stopped::Gone;
+                return Stopped::Gone(EndReason::NotTaken);
             }
             let number = number_of(&heard);
             if calls_taken && number.is_some() && number <= last {
@@ -110,10 +125,12 @@
                     // What follows can't be told apart any more. What was asked before is answered still.
                     let answered = id.filter(|_| calls_taken);
                     answered.iter().for_each(|id| self.unusable(connection, *id, why));
-                    return Stopped::Unreadable;
+                    return Stopped::Unreadable(EndReason::Unreadable(why));
                 }
-                Err(Unread::Over) if reader.get_ref().is_late() => return Stopped::Unreadable,
-                Err(Unread::Over) => return Stopped::Gone,
+                Err(Unread::Over) if reader.get_ref().is_late() => {
+                    return Stopped::Unreadable(reader.get_mut().end_reason())
+                }
+                Err(Unread::Over) => return Stopped::Gone(reader.get_mut().end_reason()),
             }
         }
     }
@@ -161,13 +178,13 @@
             Err(why) => return self.unusable(connection, id, why),
         };
         let Some(budget) = self.budget(taken, &asked, arrived) else {
-            return self.shed(connection, id, taken);
+            return self.shed(connection, id, taken, Reason::Leaving);
         };
         let slot = self.core.slot();
         // Guards against one client's flood taking all places for requests: the last are for those under their share.
         let most = self.core.share(connection.place.among()).map_or(OPEN, |share| share.min(OPEN));
-        if !connection.open(id, &slot, most) {
-            return self.shed(connection, id, taken);
+        if !connection.open(id, OpenCall { slot: slot.clone(), request: asked.via }, most) {
+            return self.shed(connection, id, taken, Reason::ConnectionFull);
         }
         let inquiry = Inquiry {
             via: asked.via,
@@ -200,8 +217,8 @@
     }
 
     /// Refuses a call that there is no room or no time for, before the core hears of it.
-    fn shed(&self, connection: &Connection, id: u32, taken: &Taken) {
-        self.core.tally.end(Some(&taken.name), End::Shed);
+    fn shed(&self, connection: &Connection, id: u32, taken: &Taken, reason: Reason) {
+        self.core.tally.end(Some(&taken.name), End::Shed(reason));
         connection.write(&codec::shed(id, self.core.refusal_wait()), Patience::Behind(SLOW));
     }
 }
--- a/edge/fronts/src/msgpack/patient.rs
+++ b/edge/fronts/src/msgpack/patient.rs
@@ -2,6 +2,7 @@
 //! keeping its place.
 
 use super::connection::Connection;
+use super::end::EndReason;
 use crate::closing::{has_arrived, is_passing};
 use std::io::{ErrorKind, Read};
 use std::sync::Arc;
@@ -25,11 +26,20 @@
     until: Instant,
     /// What was waited for did not come whole in time.
     late: bool,
+    /// Why nothing more could be read, where a call failed.
+    failure: Option<std::io::Error>,
 }
 
 impl Patient {
     pub fn new(connection: Arc<Connection>) -> Patient {
-        Patient { connection, begun: false, patience: HALF, until: Instant::now(), late: false }
+        Patient {
+            connection,
+            begun: false,
+            patience: HALF,
+            until: Instant::now(),
+            late: false,
+            failure: None,
+        }
     }
 
     /// A message is waited for. `begun`: some of it has been read already. `asked`: it is not the first.
@@ -52,6 +62,17 @@
         self.late
     }
 
+    /// Why nothing more was read.
+    pub fn end_reason(&mut self) -> EndReason {
+        match self.failure.take() {
+            Some(error) => EndReason::ReadFailed(error),
+            None if self.connection.place.ended_for().is_some() => EndReason::EndedHere,
+            None if self.late && self.begun => EndReason::HalfMessage,
+            None if self.late => EndReason::Idle,
+            None => EndReason::ClientClosed,
+        }
+    }
+
     /// Reads, and before the first bytes of a message has it count as open: while they are not read, they show that the
     /// connection is not idle, and from then on the message does. So no end is decided between the two.
     fn read_begun(&mut self, buffer: &mut [u8]) -> std::io::Result<usize> {
@@ -90,9 +111,14 @@
                 self.late = true;
                 return Err(ErrorKind::TimedOut.into());
             }
-            self.connection.stream().set_read_timeout(Some(self.until - now))?;
-            match self.read_begun(buffer) {
+            let set = self.connection.stream().set_read_timeout(Some(self.until - now));
+            match set.and_then(|()| self.read_begun(buffer)) {
                 Err(e) if is_passing(e.kind()) => {}
+                Err(e) => {
+                    let kind = e.kind();
+                    self.failure = Some(e);
+                    return Err(kind.into());
+                }
                 read => return read,
             }
         }
--- a/edge/proxy/src/server.rs
+++ b/edge/proxy/src/server.rs
@@ -18,6 +18,7 @@
 use foldmux_core::limits::Limiter;
 use foldmux_core::members::Members;
 use foldmux_core::orders::Notice;
+use foldmux_core::throttle::Throttle;
 use foldmux_core::{Core, Desk};
 use foldmux_extproc::serve::Bound as Processor;
 use foldmux_fronts::dns::server::Bound;
@@ -163,6 +164,8 @@
         classes: RwLock::new(Arc::new(taken)),
         listed,
         nobody: "".into(),
+        connections: AtomicU64::new(1),
+        end_lines: Throttle::new(Instant::now()),
     });
     let retuned = front.clone();
     let serve = move |place| front.serve(place);
@@ -194,6 +197,11 @@
         thread::sleep(TALLY_EVERY);
         pool.sweep(); // also where there is no journal service
         told.tally.line().iter().for_each(|line| tracing::info!("{line}; {} open", told.open()));
+        told.tally.reasons_line().iter().for_each(|line| tracing::info!("not served: {line}"));
+        let withheld = told.unserved_lines.take_withheld();
+        if withheld > 0 {
+            tracing::info!("{withheld} lines of requests that were not served are left out");
+        }
     })?;
     for _ in signals.forever().take_while(|signal| *signal == SIGHUP) {
         let reloaded = reload(file, &service, (&started, &mut tune), &retuned);
