--- a/edge/proxy/tests/common/mod.rs
+++ b/edge/proxy/tests/common/mod.rs
@@ -131,9 +131,13 @@
     (Program { child, file, log }, at)
 }
 
+/// A listener at an address of its own.
+pub fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").unwrap()
+}
+
 /// Plays the lines and returns them, with what the program sent in its places.
 pub fn play(script: &str) -> String {
-    let listener = || TcpListener::bind("127.0.0.1:0").unwrap();
     let (caches, mut journal) = (listener(), listener());
     let (mut program, address) = start(&config(caches.local_addr().unwrap(), journal.local_addr().unwrap()));
     let mut clients: HashMap<String, BufReader<TcpStream>> = HashMap::new();
--- a/edge/proxy/tests/common/steps.rs
+++ b/edge/proxy/tests/common/steps.rs
@@ -40,8 +40,7 @@
 
     /// With another configuration, by this command.
     pub fn start_by(command: Command, change: impl FnOnce(String) -> String) -> Rig {
-        let listener = || TcpListener::bind("127.0.0.1:0").unwrap();
-        let (caches, journal) = (listener(), listener());
+        let (caches, journal) = (common::listener(), common::listener());
         let config = common::config(caches.local_addr().unwrap(), journal.local_addr().unwrap());
         let config = change(config.replace("\"hardLimit\":30000000", DEADLINE));
         let (program, [serves, _]) = common::start_by(command, &config);
--- a/rigs/rig/fuzz/src/msgpack.rs
+++ b/rigs/rig/fuzz/src/msgpack.rs
@@ -40,6 +40,8 @@
         Err(Unread::Over) => Seen::Over,
         Err(Unread::Garbled(..)) => Seen::Garbled,
         Ok(Heard::Refused(id, _)) => Seen::Refused(id),
+        // Eight buffers are enough for one message at a time.
+        Ok(Heard::NoRoom(..)) => panic!("no buffer for a body"),
         Ok(Heard::Forget(ids)) => Seen::Forget(ids),
         Ok(Heard::Call(call)) => Seen::Call {
             id: call.id,
