Go by the one table of socket errors in every listener, link and watch; hear signals by flags

Now they go by shared/sockets; signals set flags, and the pipe only wakes; the log's thread is asked for again.

--- a/edge/fronts/extproc/src/serve/connections.rs
+++ b/edge/fronts/extproc/src/serve/connections.rs
@@ -1,6 +1,8 @@
 //! Connections: taken while there are places, each with its handshake, and with whom it was made.
 
 use foldmux_identity::Identity;
+use foldmux_sockets::verdict::{on_accept, OnAccept, OnStream};
+use foldmux_sockets::Pauses;
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -26,13 +28,20 @@
     taken: mpsc::Sender<Result<Link, io::Error>>,
 ) {
     let places = Arc::new(Semaphore::new(most));
+    let mut pauses = Pauses::default();
     loop {
         let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+            Ok((stream, _)) => {
+                pauses = Pauses::default();
+                stream
+            }
             Err(e) => {
-                // Guards against spinning where there are no descriptors.
-                let aborted = e.kind() == io::ErrorKind::ConnectionAborted;
-                sleep(Duration::from_millis(if aborted { 0 } else { 20 })).await;
+                // Guards against spinning where there are no descriptors, or on an error that stays.
+                sleep(pauses.before_next(match on_accept(&e) {
+                    OnAccept::Quiet | OnAccept::Next => OnStream::Again,
+                    OnAccept::Later => OnStream::Later,
+                }))
+                .await;
                 continue;
             }
         };
--- a/edge/fronts/src/dns/server.rs
+++ b/edge/fronts/src/dns/server.rs
@@ -10,10 +10,12 @@
 use foldmux_core::Core;
 use foldmux_identity::{Files, Identity};
 use foldmux_operator::Dns;
+use foldmux_sockets::stream::set_nodelay;
+use foldmux_sockets::timed::Timed;
 use hickory_proto::rr::Name;
 use rustls::{ServerConnection, StreamOwned};
 use std::io::{self, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
@@ -133,20 +135,14 @@
     }
 }
 
-fn prepared(stream: &TcpStream) -> io::Result<()> {
-    stream.set_nodelay(true)?;
-    stream.set_read_timeout(Some(IDLE))?;
-    stream.set_write_timeout(Some(IDLE))
-}
-
 fn serve_tcp(dns: &Front, place: &Place) -> io::Result<()> {
-    prepared(&place.stream)?;
-    talk(dns, place, &*place.stream)
+    set_nodelay(&place.stream);
+    talk(dns, place, Timed::new(&place.stream, IDLE))
 }
 
 fn serve_tls(dns: &Front, identity: &Identity, place: &Place) -> io::Result<()> {
-    let stream = &*place.stream;
-    prepared(stream)?;
+    set_nodelay(&place.stream);
+    let stream = Timed::new(&place.stream, IDLE);
     let connection = ServerConnection::new(identity.current()).map_err(io::Error::other)?;
     let mut stream = StreamOwned::new(connection, stream);
     while stream.conn.is_handshaking() {
--- a/edge/proxy/src/journal/service.rs
+++ b/edge/proxy/src/journal/service.rs
@@ -3,6 +3,7 @@
 use super::answer::{Fault, PATIENCE};
 use super::watch::Place;
 use foldmux_http1::io::quiet;
+use foldmux_sockets::dial::dial;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -78,9 +79,7 @@
         }
         state.hang_up();
         drop(state);
-        let dialled = TcpStream::connect_timeout(&place.address, PATIENCE);
-        let stream = Arc::new(dialled.map_err(Fault::NoConnection)?);
-        let _ = stream.set_nodelay(true);
+        let stream = dial(place.address, PATIENCE, &|_| true).map_err(Fault::NoConnection)?;
         let mut state = self.state();
         if state.moves != place.moves {
             return Err(Fault::Moved);
--- a/edge/proxy/src/lib.rs
+++ b/edge/proxy/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod reload;
 pub mod reports;
 pub mod server;
+pub mod signals;
 pub mod started;
 pub mod turns;
 pub mod wiring;
--- a/edge/proxy/src/log.rs
+++ b/edge/proxy/src/log.rs
@@ -1,12 +1,15 @@
 //! The log: lines on standard error, plain or as JSON, through a bounded queue that drops rather than waits, so that
 //! no thread of the program is ever held up by whoever reads it.
 
+use foldmux_fronts::listen::{named, READER_STACK};
 use std::panic::catch_unwind;
 use tracing_appender::non_blocking::{NonBlocking, NonBlockingBuilder, WorkerGuard};
 use tracing_subscriber::EnvFilter;
 
 /// Lines that wait to be written; those beyond are dropped and counted by the writer.
 const QUEUE: usize = 4_096;
+/// How often the log's thread is asked for, where there was one for others in between.
+const STARTS: usize = 3;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Form {
@@ -24,11 +27,18 @@
     }
 }
 
-/// The queue and the thread that writes from it. The library panics where the machine has no thread left: here that is an
-/// error like any other at the start.
+/// The queue and the thread that writes from it. The library panics where the machine has no thread left: then one is waited
+/// for, and it is asked again.
 fn writer() -> Result<(NonBlocking, WorkerGuard), String> {
-    let builder = NonBlockingBuilder::default().lossy(true).buffered_lines_limit(QUEUE).thread_name("log");
-    catch_unwind(|| builder.finish(std::io::stderr())).map_err(|_| "log: no thread to write it".to_string())
+    for _ in 0..STARTS {
+        let builder =
+            NonBlockingBuilder::default().lossy(true).buffered_lines_limit(QUEUE).thread_name("log");
+        if let Ok(writer) = catch_unwind(|| builder.finish(std::io::stderr())) {
+            return Ok(writer);
+        }
+        let _ = named("spare", READER_STACK, || ())?.join();
+    }
+    Err("log: no thread to write it".to_string())
 }
 
 /// Starts the log; what is queued is written when the guard is dropped. `level`: a level or a filter by module, else
--- a/edge/proxy/src/server.rs
+++ b/edge/proxy/src/server.rs
@@ -8,6 +8,7 @@
 use crate::leave::{until_killed, Leaving, ANSWERS_READ, LONGEST};
 use crate::line::{self, Hand, Sources};
 use crate::reload::{processed, rekey, relimit, reload, reweigh, rewire, routed, rules, served, tell};
+use crate::signals::{Signal, Signals};
 use crate::started::Started;
 use crate::wiring::{Live, Zones};
 use crate::{limits, reports};
@@ -28,8 +29,6 @@
 use foldmux_operations::retune::Classes;
 use foldmux_operator::Operator;
 use foldmux_upstream::{pool::Pool, Upstream};
-use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
-use signal_hook::iterator::Signals;
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -54,7 +53,7 @@
 /// `operator`: the operator's file and what it holds.
 #[expect(clippy::too_many_lines, reason = "puts all parts together, in their order; to be split by phase")]
 pub fn run(config: Config, file: &Path, operator: Option<(&Path, Operator)>) -> Result<(), String> {
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(|e| format!("signals: {e}"))?;
+    let signals = Signals::new().map_err(|e| format!("signals: {e}"))?;
     let bounds = config.bounds;
     let started = Started::of(&config);
     let decoded = config.decoded;
@@ -203,7 +202,7 @@
             tracing::info!("{withheld} lines of requests that were not served are left out");
         }
     })?;
-    for _ in signals.forever().take_while(|signal| *signal == SIGHUP) {
+    while signals.wait() == Signal::Reload {
         let reloaded = reload(file, &service, (&started, &mut tune), &retuned);
         let count = if reloaded.is_ok() { &sources.conf_loaded } else { &sources.conf_invalid };
         count.fetch_add(1, Ordering::Relaxed);
--- a/hub/src/links.rs
+++ b/hub/src/links.rs
@@ -2,6 +2,7 @@
 //! answer that was read to its end.
 
 use foldmux_http1::io::quiet;
+use foldmux_sockets::dial::dial;
 use std::collections::HashMap;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -37,9 +38,7 @@
     }
 
     pub fn dial(&self, address: SocketAddr, time_out: Duration) -> io::Result<Arc<TcpStream>> {
-        let stream = TcpStream::connect_timeout(&address, time_out.max(Duration::from_millis(1)))?;
-        stream.set_nodelay(true)?;
-        Ok(Arc::new(stream))
+        dial(address, time_out, &|_| true)
     }
 
     /// Takes a connection whose last answer was read to its end; beyond the bound it is closed.
--- a/hub/src/purges.rs
+++ b/hub/src/purges.rs
@@ -8,9 +8,10 @@
 use foldmux_figures::mix;
 use foldmux_http1::io::write_all;
 use foldmux_http1::read_response;
+use foldmux_sockets::dial::dial;
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::Ordering;
-use std::sync::Weak;
+use std::sync::{Arc, Weak};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -68,7 +69,7 @@
 }
 
 fn poll(
-    link: &mut Option<TcpStream>,
+    link: &mut Option<Arc<TcpStream>>,
     address: SocketAddr,
     pos: u64,
     wait: Duration,
@@ -76,7 +77,7 @@
 ) -> Result<Feed, String> {
     let stream = match link.take() {
         Some(stream) => stream,
-        None => TcpStream::connect_timeout(&address, PATIENCE).map_err(|e| format!("{address}: {e}"))?,
+        None => dial(address, PATIENCE, &|_| true).map_err(|e| format!("{address}: {e}"))?,
     };
     let until = Instant::now() + wait + PATIENCE;
     let ask =
--- a/hub/src/wait.rs
+++ b/hub/src/wait.rs
@@ -6,7 +6,7 @@
 use crate::request_fields::RequestFields;
 use crate::tally::add;
 use foldmux_http1::io::write_all;
-use std::io::ErrorKind;
+use foldmux_sockets::stream::{arrived, Arrived};
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
@@ -70,13 +70,5 @@
 
 /// Whether the other side has closed. Guards against fetches that go on for those who left.
 fn gone(stream: &TcpStream) -> bool {
-    if stream.set_nonblocking(true).is_err() {
-        return true;
-    }
-    let peeked = stream.peek(&mut [0]);
-    let open = match peeked {
-        Ok(n) => n > 0,
-        Err(e) => e.kind() == ErrorKind::WouldBlock,
-    };
-    stream.set_nonblocking(false).is_err() || !open
+    arrived(stream) == Arrived::End
 }
--- a/shared/peers/src/links.rs
+++ b/shared/peers/src/links.rs
@@ -9,6 +9,9 @@
 use crate::{Config, Counts, Incoming, Session};
 use crossbeam_channel::Sender;
 use foldmux_seats::Peer;
+use foldmux_sockets::dial::dial;
+use foldmux_sockets::stream;
+use foldmux_sockets::verdict::{on_accept, OnAccept};
 use socket2::{Domain, Protocol, Socket, Type};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -155,8 +158,8 @@
             };
             match listening.accept() {
                 Ok((stream, _)) => self.take(stream),
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                // Guards against spinning where there are no descriptors.
+                Err(e) if on_accept(&e) == OnAccept::Quiet => {}
+                // Guards against spinning on an error that stays.
                 Err(_) => drop(self.live.pause(Duration::from_millis(20))),
             }
         }
@@ -186,7 +189,7 @@
         let mut draws = fastrand::Rng::with_seed(self.config.seed ^ (at as u64) << 32);
         let mut most = first;
         while self.live.wait_for_none(peer) {
-            let dialled = TcpStream::connect_timeout(address, self.config.bounds.dial).ok();
+            let dialled = dial(*address, self.config.bounds.dial, &|_| true).ok().and_then(Arc::into_inner);
             let lasted = dialled.and_then(|s| self.one(s, |own, s, reader| own.dial(s, reader, peer), true));
             // One that lasted begins anew; any other doubles the range that its wait is drawn from.
             match lasted {
@@ -211,7 +214,7 @@
         dialled: bool,
     ) -> Option<Duration> {
         let bounds = &self.config.bounds;
-        stream.set_nonblocking(false).and_then(|()| stream.set_nodelay(true)).ok()?;
+        stream::set_nodelay(&stream);
         let mut reader = wire::deadline_reader(stream.try_clone().ok()?, Instant::now() + bounds.hello);
         let own = Own { config: &self.config, session: self.session };
         let begun = hello(&own, &stream, &mut reader);
--- a/shared/peers/src/wire.rs
+++ b/shared/peers/src/wire.rs
@@ -1,8 +1,9 @@
 //! A socket whose reads and writes are over by a moment, however they trickle.
 
-use std::io::{self, BufReader, Read, Write};
+use foldmux_sockets::stream;
+use std::io::{self, BufReader, Read};
 use std::net::TcpStream;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 /// The socket gives at most so much at once.
 const READ: usize = 16 * 1024;
@@ -24,30 +25,15 @@
 
 impl Read for DeadlineStream {
     fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
-        self.stream.set_read_timeout(Some(left(self.until)?))?;
-        self.stream.read(buffer)
+        Ok(stream::read(&self.stream, buffer, self.until)?)
     }
 }
 
 /// Writes all of it, or fails by the moment.
-pub fn write(mut stream: &TcpStream, mut bytes: &[u8], until: Instant) -> io::Result<()> {
+pub fn write(stream: &TcpStream, mut bytes: &[u8], until: Instant) -> io::Result<()> {
     while !bytes.is_empty() {
-        stream.set_write_timeout(Some(left(until)?))?;
-        match stream.write(bytes) {
-            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-            Ok(count) => bytes = &bytes[count..],
-            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-            Err(e) => return Err(e),
-        }
+        let count = stream::write(stream, bytes, until)?;
+        bytes = &bytes[count..];
     }
     Ok(())
 }
-
-fn left(until: Instant) -> io::Result<Duration> {
-    let left = until.saturating_duration_since(Instant::now());
-    // A time-out of none would be none at all.
-    if left < Duration::from_micros(1) {
-        return Err(io::ErrorKind::TimedOut.into());
-    }
-    Ok(left)
-}
--- a/shared/sockets/src/lib.rs
+++ b/shared/sockets/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod dial;
 mod pauses;
 pub mod stream;
+pub mod timed;
 pub mod verdict;
 
 pub use pauses::Pauses;
