--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # build, test, lint, run and show foldmux; everything else is in README.md.
-.PHONY: build test lint run demo demo-extproc lab bench bench-extproc fleet-faults demo-fleet fuzz planted lab-fleet
+.PHONY: build test lint run demo demo-extproc lab bench bench-extproc fleet-faults demo-fleet fuzz planted soak lab-fleet
 
 build:
 	cargo build --release --locked
@@ -64,6 +64,12 @@
 	cargo test --locked -p foldmux-relay --features foldmux-relay/planted --test planted
 	cargo test --locked -p foldmux-fair --features foldmux-fair/planted --test planted
 
+# The program under failing system calls, stepped clocks and signals, a seed after the other; what broke a rule is told.
+SEEDS ?= 1..51
+SOAK_SECONDS ?= 5
+soak: build
+	target/release/foldmux-soak --seeds $(SEEDS) --seconds $(SOAK_SECONDS)
+
 # A thousand instances in virtual time, a fault at any message; what breaks is shrunk.
 lab-fleet: build
 	target/release/foldmux-lab fleet --instances 1000 --seed $(SEED)
--- a/edge/proxy/src/signals.rs
+++ b/edge/proxy/src/signals.rs
@@ -53,7 +53,9 @@
                 return Signal::Reload;
             }
             match (&self.woken).read(&mut [0; 64]) {
-                Ok(_) => pauses = Pauses::default(),
+                Ok(count) if count > 0 => pauses = Pauses::default(),
+                // The other end is held by the handlers, and stays.
+                Ok(_) => thread::sleep(pauses.lengthen()),
                 Err(error) => thread::sleep(pauses.before_next(on_stream(&error))),
             }
         }
--- a/rigs/soak/src/client.rs
+++ b/rigs/soak/src/client.rs
@@ -17,10 +17,15 @@
 
 /// Open requests that one connection carries.
 const OPEN: usize = 32;
+/// Most requests that are written without a pause.
+const BURST: u64 = 20;
+/// Between the pieces of a message that comes in two.
+const PIECES: Duration = Duration::from_millis(30);
 /// Between two tries to connect.
 const CONNECT_AGAIN: Duration = Duration::from_millis(20);
-/// The shortest wait of a request (ms).
+/// The shortest wait of a request (ms), and of one with very little time left.
 const SHORTEST_MS: u64 = 150;
+const HOPELESS_MS: u64 = 2;
 /// A served part is small enough to be checked whole.
 const PART: u32 = 0;
 
@@ -86,9 +91,10 @@
             0..4 => forget(connection),
             4..5 => return close(connection),
             5..8 => thread::sleep(Duration::from_millis(dice.number(100, 700))),
-            _ => {
-                ask(world, connection, dice, next);
-                next += 1;
+            kind => {
+                let burst = if kind < 12 { dice.number(2, BURST) as u32 } else { 1 };
+                (next..next + burst).for_each(|number| ask(world, connection, dice, number));
+                next += burst;
             }
         }
     }
@@ -97,7 +103,8 @@
 fn ask(world: &World, connection: &Connection, dice: &mut Dice, number: u32) {
     let id = world.ids.fetch_add(1, Ordering::SeqCst);
     let (keyed, object) = (dice.chance(10), dice.number(1, 500));
-    let wait = Duration::from_millis(dice.number(SHORTEST_MS, DEADLINE_MS));
+    let shortest = if dice.chance(5) { HOPELESS_MS } else { SHORTEST_MS };
+    let wait = Duration::from_millis(dice.number(shortest, DEADLINE_MS.min(shortest * 20)));
     let message = call(number, id, keyed, object, wait);
     let (answers, written) = (Vec::new(), Instant::now());
     let connection_number = connection.number;
@@ -109,7 +116,8 @@
     }
     state.open.insert(number, (request, object));
     // The lock keeps the order of the numbers, and an answer from being taken before the request is known.
-    let sent = (&connection.stream).write_all(&message);
+    let cut = if dice.chance(4) { message.len() / 2 } else { 0 };
+    let sent = in_pieces(&connection.stream, message.split_at(cut));
     match (sent, state.open.get_mut(&number)) {
         (Ok(()), Some((request, _))) => request.written = Instant::now(),
         // Not written whole: it was never taken.
@@ -117,6 +125,15 @@
     }
 }
 
+/// Writes a message, with a pause between its pieces where there are two.
+fn in_pieces(mut stream: &TcpStream, (first, second): (&[u8], &[u8])) -> std::io::Result<()> {
+    if !first.is_empty() {
+        stream.write_all(first)?;
+        thread::sleep(PIECES);
+    }
+    stream.write_all(second)
+}
+
 fn call(number: u32, id: u64, keyed: bool, object: u64, wait: Duration) -> Vec<u8> {
     let mut fields = vec![
         ("i", format!("{id:016x}")),
--- a/rigs/soak/src/plan.rs
+++ b/rigs/soak/src/plan.rs
@@ -49,6 +49,10 @@
     pub sockets: u64,
     pub memory_mb: u64,
     pub connections: u64,
+    /// Of a hundred attempts so many find a cache that hangs.
+    pub hangs: u64,
+    /// Nobody answers at the journal service's address.
+    pub journal_down: bool,
     /// When SIGHUP comes, from the first traffic.
     pub reloads: Vec<Duration>,
     /// When SIGTERM comes.
@@ -80,6 +84,8 @@
             sockets: *dice.one_of(&[128, 256, 1_024]),
             memory_mb: *dice.one_of(&[16, 32, 192]),
             connections: dice.number(2, 12),
+            hangs: *dice.one_of(&[0, 0, 2, 10, 40]),
+            journal_down: dice.chance(20),
             reloads,
             end: time,
             after_end,
--- a/rigs/soak/src/run.rs
+++ b/rigs/soak/src/run.rs
@@ -9,6 +9,7 @@
 use crate::traffic::cache;
 use foldmux_standins::journal::{self, Journal};
 use nix::sys::signal::Signal;
+use std::net::{SocketAddr, TcpListener};
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
@@ -45,14 +46,16 @@
 /// Plays one seed; what the program was told and what it said stay in `folder`.
 pub fn run(program: &Path, plan: &Plan, folder: &Path) -> Result<Verdict, String> {
     let record = Arc::new(Record::default());
-    let servers: Vec<_> = (0..SERVERS).map(|n| cache(plan.seed.wrapping_add(n), record.clone())).collect();
+    let servers: Vec<_> =
+        (0..SERVERS).map(|n| cache(plan.seed.wrapping_add(n), plan.hangs, record.clone())).collect();
     let addresses: Vec<_> = servers.iter().map(|server| server.address).collect();
     let journal = Journal::start();
     journal.tell(&journal::hosts(true, &hosts(&addresses)));
     let write = |name: &str, text: &str| {
         std::fs::write(folder.join(name), text).map_err(|e| format!("{}: {e}", folder.display()))
     };
-    write("config.json", &config(plan, journal.address(), &journal.known()))?;
+    let at = if plan.journal_down { nobody()? } else { journal.address() };
+    write("config.json", &config(plan, at, &journal.known()))?;
     write("faults", &plan.faults)?;
     let mut process = Process::start(program, &shim()?, folder)?;
     let world = Arc::new(World {
@@ -82,6 +85,12 @@
     Ok(Verdict { requests, served, attempts, crossed, injected, killed, broken, crashed })
 }
 
+/// An address at which nobody listens.
+fn nobody() -> Result<SocketAddr, String> {
+    let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
+    listener.local_addr().map_err(|e| e.to_string())
+}
+
 /// The signals of the plan, until the process has ended; whether it was killed, and how it failed by itself.
 fn live(process: &mut Process, plan: &Plan) -> (bool, Option<String>) {
     let began = Instant::now();
--- a/rigs/soak/src/traffic.rs
+++ b/rigs/soak/src/traffic.rs
@@ -18,18 +18,18 @@
     100 + (object % 20_000) as usize
 }
 
-/// A cache that records its attempts.
-pub fn cache(seed: u64, record: Arc<Record>) -> Server {
-    Server::start(move |stream| while one(stream, seed, &record) {})
+/// A cache that records its attempts; of a hundred it hangs at so many.
+pub fn cache(seed: u64, hangs: u64, record: Arc<Record>) -> Server {
+    Server::start(move |stream| while one(stream, seed, hangs, &record) {})
 }
 
-fn one(stream: &TcpStream, seed: u64, record: &Record) -> bool {
+fn one(stream: &TcpStream, seed: u64, hangs: u64, record: &Record) -> bool {
     let Some(ask) = read_ask(stream) else { return false };
     let id = u64::from_str_radix(ask.field("via-id"), 16).unwrap_or(UNKNOWN);
     let wait = Duration::from_millis(ask.field("via-wait").parse().unwrap_or(0));
     let mut dice = Dice::new(seed ^ id, 1);
     let after = Duration::from_millis(dice.number(0, 60));
-    let act = act(&mut dice, &ask);
+    let act = if dice.chance(hangs) { Act::Silence(SILENCE) } else { act(&mut dice, &ask) };
     // A request that is given up while it is worked on ends there.
     let kept = !closes(stream, after) && carry_out(stream, &ask, act);
     record.attempt(Attempt { id, at: ask.at, wait, until: Instant::now() });
@@ -45,7 +45,6 @@
         9..11 => Act::Say { status: 404, fields: String::new() },
         11..14 => Act::Reset,
         14..16 => Act::Cut { version: 1, length, bytes: length / 2 },
-        16..18 => Act::Silence(SILENCE),
         _ => Act::give(length, Duration::ZERO),
     }
 }
