Count a request's time from when it may have arrived, and look again where its first byte is held up

Causes: the time of a request was counted from when it was read, also where reads had failed, no thread could be had or the reader had been held up by a write; the head of an attempt was written once, also where its first byte could not leave for a while; a time-out that could not be set kept what had come from being seen; the last millisecond of a late answer ended in a cut.

Change: a pure Watch says when what was read may have arrived at the earliest, by the last moment at which nothing was there; the head, and all that must hold for an attempt, is looked at again each 50 ms until its first byte leaves; where no time-out can be set the call is made without waiting; a late answer that could not be begun is left out and the connection goes on; the front's own refusals have 3 s to be written.

--- a/edge/fronts/src/closing.rs
+++ b/edge/fronts/src/closing.rs
@@ -54,7 +54,7 @@
         match stream::read(stream, &mut chunk, Instant::now() + wait) {
             Ok(0) | Err(Stop::Over(_)) => return,
             Ok(count) if state() != Discard::Owed => left = left.saturating_sub(count),
-            Ok(_) | Err(Stop::TimedOut) => {}
+            Ok(_) | Err(Stop::TimedOut | Stop::Failing(_)) => {}
         }
     }
 }
--- a/edge/fronts/src/listen.rs
+++ b/edge/fronts/src/listen.rs
@@ -4,6 +4,7 @@
 use crate::places::{Place, Places};
 use foldmux_sockets::stream::set_nodelay;
 use foldmux_sockets::verdict::{is_passing_on_spawn, on_accept, OnAccept, OnStream};
+use foldmux_sockets::watch::{Call, Watch};
 use foldmux_sockets::Pauses;
 use std::collections::VecDeque;
 use std::io;
@@ -112,6 +113,7 @@
     let mut draining = false;
     let mut refused = Refused::default();
     let mut swept = Instant::now();
+    let mut watch = Watch::new(swept);
     let (mut pauses, mut quiet) = (Pauses::default(), 0);
     loop {
         if swept.elapsed() >= LOOK_EVERY {
@@ -124,19 +126,22 @@
             // Where it can't be set, the last accept waits for as long as any: the queue is taken all the same.
             let _ = listener.set_nonblocking(true);
         }
+        let began = Instant::now();
         match listener.accept() {
             Ok((stream, _)) => {
                 let _ = stream.set_nonblocking(false);
                 // Guards against small answers that the system holds back until the peer acknowledges.
                 set_nodelay(&stream);
                 (pauses, quiet) = (Pauses::default(), 0);
-                let place = match places.take(stream) {
+                watch.over(looked(began, false));
+                let mut place = match places.take(stream) {
                     Ok(place) => place,
                     Err(stream) => {
                         refused.push(stream);
                         continue;
                     }
                 };
+                place.opened = watch.earliest();
                 let serve = serve.clone();
                 let spawned = named("connection", stack, move || serve(place));
                 spawned.err().iter().for_each(|e| tracing::warn!("{e}"));
@@ -144,7 +149,10 @@
             Err(e) => match on_accept(&e) {
                 // A signal's worth of doubt: an empty queue says so again.
                 OnAccept::Quiet if draining && quiet >= QUIET_ENOUGH => return,
-                OnAccept::Quiet => quiet += 1,
+                OnAccept::Quiet => {
+                    watch.over(looked(began, true));
+                    quiet += 1;
+                }
                 OnAccept::Next => thread::sleep(pauses.before_next(OnStream::Again)),
                 OnAccept::Later => thread::sleep(pause(&e)),
             },
@@ -152,6 +160,11 @@
     }
 }
 
+/// A look at the listener's queue that is over now.
+fn looked(began: Instant, drained: bool) -> Call {
+    Call { began, failing_since: None, drained, over: Instant::now() }
+}
+
 /// Connections without a place: our side has ended, and the peer has a while to see that before they are closed.
 #[derive(Default)]
 struct Refused(VecDeque<(Instant, TcpStream)>);
--- a/edge/fronts/src/msgpack/connection.rs
+++ b/edge/fronts/src/msgpack/connection.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 /// Longest that a write waits where its time is over already: what the socket takes at once still goes.
-const LAST_WRITE: Duration = Duration::from_millis(1);
+const LAST_WRITE: Duration = Duration::from_millis(20);
 
 /// A call that is open on a connection.
 pub(super) struct OpenCall {
@@ -124,8 +124,11 @@
         while !left.is_empty() && !self.is_broken() {
             match stream::write(self.stream(), left, until.max(Instant::now() + LAST_WRITE)) {
                 Ok(count) => left = &left[count..],
+                // Not for the client's sake, and the client can read on: what else is open on the connection is not lost for
+                // an answer that comes too late.
+                Err(Stop::Failing(_)) if left.len() == message.len() => return,
                 Err(Stop::TimedOut) => self.fail(EndReason::NotTaken),
-                Err(Stop::Over(error)) => self.fail(EndReason::WriteFailed(error)),
+                Err(Stop::Over(error) | Stop::Failing(error)) => self.fail(EndReason::WriteFailed(error)),
             }
         }
     }
--- a/edge/fronts/src/msgpack/mod.rs
+++ b/edge/fronts/src/msgpack/mod.rs
@@ -29,6 +29,9 @@
 const OPEN: usize = 32;
 /// How long a client may leave an answer unread beyond its own deadline before its connection is closed.
 const SLOW: Duration = Duration::from_millis(500);
+/// How long a refusal or an error of the front's own may take to be written before its connection is closed, and with it what
+/// else is open there: as long as a client may wait for the others, by the platform's count of the longest deadline.
+const OWN_WORDS: Duration = Duration::from_secs(3);
 /// Leaving, a request with less time than this before the process must go is refused rather than begun (us).
 const LEAST_LEFT: Time = 50_000;
 /// Bytes read from a connection at once.
@@ -106,7 +109,8 @@
             let begun = calls_taken && !reader.buffer().is_empty();
             reader.get_mut().next(begun, last.is_some());
             let heard = codec::read(&mut reader, &self.core.buffers);
-            let arrived = Instant::now();
+            // Time that passed unseen is the client's all the same.
+            let arrived = reader.get_ref().arrived();
             if connection.is_broken() {
                 return Stopped::Gone(EndReason::NotTaken);
             }
@@ -149,7 +153,7 @@
 
     fn unusable(&self, connection: &Connection, id: u32, why: &'static str) {
         self.core.tally.end(None, End::Unusable);
-        connection.write(&codec::error(id, "Fault", Some(("why", why))), Patience::Behind(SLOW));
+        connection.write(&codec::error(id, "Fault", Some(("why", why))), Patience::Behind(OWN_WORDS));
     }
 
     /// A number that does not count up. Guards against two answers under one number, and against a client that
@@ -158,7 +162,7 @@
         if let Some(slot) = connection.close(number) {
             self.core.leave(&slot);
             let error = codec::error(number, "Fault", Some(("why", "two requests under one number")));
-            connection.write(&error, Patience::Behind(SLOW));
+            connection.write(&error, Patience::Behind(OWN_WORDS));
             connection.place.done();
         }
         connection.place.end_when_idle();
@@ -168,7 +172,7 @@
         let id = call.id;
         if call.method == "isWell" {
             let well = self.listed.load(Ordering::SeqCst) && self.leave_by.get().is_none();
-            return connection.write(&codec::well(id, well), Patience::Behind(SLOW));
+            return connection.write(&codec::well(id, well), Patience::Behind(OWN_WORDS));
         }
         let classes = self.classes();
         let Some(taken) = classes.iter().find(|c| *c.name == *call.method) else {
@@ -224,7 +228,7 @@
     /// Refuses a call that there is no room or no time for, before the core hears of it.
     fn shed(&self, connection: &Connection, id: u32, taken: Option<&Taken>, reason: Reason) {
         self.core.tally.end(taken.map(|taken| &taken.name), End::Shed(reason));
-        connection.write(&codec::shed(id, self.core.refusal_wait()), Patience::Behind(SLOW));
+        connection.write(&codec::shed(id, self.core.refusal_wait()), Patience::Behind(OWN_WORDS));
     }
 }
 
--- a/edge/fronts/src/msgpack/patient.rs
+++ b/edge/fronts/src/msgpack/patient.rs
@@ -5,6 +5,7 @@
 use super::end::EndReason;
 use crate::closing::has_arrived;
 use foldmux_sockets::stream::{self, Stop};
+use foldmux_sockets::watch::Watch;
 use std::io::{ErrorKind, Read};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -29,18 +30,15 @@
     late: bool,
     /// Why nothing more could be read, where a call failed.
     failure: Option<std::io::Error>,
+    /// When what was read may have arrived.
+    watch: Watch,
 }
 
 impl Patient {
     pub fn new(connection: Arc<Connection>) -> Patient {
-        Patient {
-            connection,
-            begun: false,
-            patience: HALF,
-            until: Instant::now(),
-            late: false,
-            failure: None,
-        }
+        let watch = Watch::new(connection.place.opened);
+        let until = Instant::now();
+        Patient { connection, begun: false, patience: HALF, until, late: false, failure: None, watch }
     }
 
     /// A message is waited for. `begun`: some of it has been read already. `asked`: it is not the first.
@@ -63,6 +61,11 @@
         self.late
     }
 
+    /// The earliest moment at which what was read by now may have arrived.
+    pub fn arrived(&self) -> Instant {
+        self.watch.earliest()
+    }
+
     /// Why nothing more was read.
     pub fn end_reason(&mut self) -> EndReason {
         match self.failure.take() {
@@ -80,12 +83,13 @@
         let stream = self.connection.stream();
         if !self.begun {
             // What comes after the end was decided is not sent on.
-            if !stream::wait_for_bytes(stream, self.until)? || !self.connection.place.begin() {
+            if !stream::wait_for_bytes(stream, self.until, &mut self.watch)? || !self.connection.place.begin()
+            {
                 return Ok(0);
             }
             (self.begun, self.until) = (true, Instant::now() + HALF);
         }
-        stream::read(stream, buffer, self.until)
+        stream::read_watched(stream, buffer, self.until, &mut self.watch)
     }
 
     /// The time is over: whether the connection has its answers still to wait for, or to follow on.
@@ -114,7 +118,7 @@
             }
             match self.read_begun(buffer) {
                 Ok(count) => return Ok(count),
-                Err(Stop::TimedOut) => {}
+                Err(Stop::TimedOut | Stop::Failing(_)) => {}
                 Err(Stop::Over(error)) => {
                     let kind = error.kind();
                     self.failure = Some(error);
--- a/edge/fronts/src/places.rs
+++ b/edge/fronts/src/places.rs
@@ -42,6 +42,8 @@
     places: Arc<Places>,
     number: u64,
     pub stream: Arc<TcpStream>,
+    /// The connection came up no earlier.
+    pub opened: Instant,
 }
 
 impl Places {
@@ -69,7 +71,7 @@
         let (number, stream) = (state.next, Arc::new(stream));
         state.taken.insert(number, Taken::new(stream.clone()));
         state.next += 1;
-        Ok(Place { places: self.clone(), number, stream })
+        Ok(Place { places: self.clone(), number, stream, opened: Instant::now() })
     }
 
     /// All places are taken: waits for one that lingers, or that is told to make way now, to be gone.
--- a/edge/proxy/src/line.rs
+++ b/edge/proxy/src/line.rs
@@ -152,7 +152,7 @@
     let mut last = Instant::now();
     loop {
         let read = match stream::read(&stream, &mut buffer, last + IDLE) {
-            Err(Stop::TimedOut) => return,
+            Err(Stop::TimedOut | Stop::Failing(_)) => return,
             Ok(0) | Err(_) => {
                 if lines.partial() {
                     say(&stream, b"error call cut off\n");
--- a/edge/proxy/tests/socket_faults.rs
+++ b/edge/proxy/tests/socket_faults.rs
@@ -35,6 +35,19 @@
     }
 }
 
+#[test]
+fn where_no_time_out_can_be_set_at_all_clients_are_served_and_heard() {
+    let rig = start_under("setsockopt role=client error=ENOBUFS");
+    let mut client = rig.client();
+    rig.answers_two(&mut client, ONE);
+    // Also heard: that it gives up.
+    let number = client.ask(TWO);
+    let mut attempt = rig.attempt_of(&mut client);
+    client.forget(number);
+    attempt.is_given_up();
+    assert!(rig.injected() >= 4);
+}
+
 #[test]
 fn an_answer_whose_write_fails_is_written_again_and_the_others_follow() {
     for error in PASSING {
@@ -84,6 +97,20 @@
     rig.ends_well();
 }
 
+#[test]
+fn a_refusal_whose_write_fails_for_a_second_costs_no_other_request() {
+    // 32 are open; the next is refused by the front itself. A hundred tries take a second of pauses.
+    let rig = start_under("send role=client error=ENOBUFS count=100");
+    let mut client = rig.client();
+    let calls: Vec<u8> = (0..33).flat_map(|n| call(n + 1, ONE + u64::from(n))).collect();
+    client.send(&calls);
+    let mut attempts: Vec<_> = (0..32).map(|_| rig.attempt()).collect();
+    assert!(client.answer().contains("Shed"));
+    assert_eq!(rig.injected(), 100);
+    attempts.iter_mut().for_each(|attempt| attempt.give(b"ok"));
+    (0..32).for_each(|_| assert!(client.answer().contains("\\xc4\\x02ok")));
+}
+
 #[test]
 fn a_body_that_finds_no_buffer_costs_its_own_request_alone() {
     // 16 MB: 44 buffers, of which bodies may have 11.
--- a/edge/upstream/src/attempt.rs
+++ b/edge/upstream/src/attempt.rs
@@ -8,11 +8,16 @@
 use foldmux_core::clock::span;
 use foldmux_core::members::Start;
 use foldmux_http1::io::{is_quiet, write_all, Quiet, Unwritten};
-use foldmux_http1::{read_response, Broken};
+use foldmux_http1::read_response;
+use foldmux_sockets::stream::{self, Stop};
 use std::net::{Shutdown, TcpStream};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+/// How long the first bytes of a request may take to leave before what its head says is looked at again: well within the
+/// slack with which deadlines are passed on.
+const FRESH: Duration = Duration::from_millis(50);
+
 /// A connection that an attempt is on: shut, its reader wakes.
 struct Held(Arc<TcpStream>);
 
@@ -77,19 +82,37 @@
             Quiet::Unknown if !idle => {}
             Quiet::No | Quiet::Unknown => return Err(unusable(idle)),
         }
-        // Dialling took time, and the list may have changed in it: here, just before the first byte, the cache
-        // and the source must still be allowed and be the starts that the module meant, with time left.
-        let head = self.head(attempt, until).ok_or_else(never)?;
-        // Whoever owns a covered request may have lost it in any of these waits.
-        if attempt.guard.is_some_and(|guard| !guard.may_send()) {
-            return Err(never());
-        }
+        let (head, written) = self.begin(attempt, &stream, idle, until)?;
         let body = attempt.inquiry.body.as_ref().map_or(&[][..], |(lease, n)| &lease[..*n]);
-        match write_all(&stream, &[head.as_bytes(), body], until) {
-            Ok(()) => Ok(stream),
-            Err(Unwritten { written: 0, cause: Broken::TimedOut }) => Err(never()),
-            Err(Unwritten { written: 0, .. }) => Err(unusable(idle)),
-            Err(Unwritten { cause, .. }) => Err(Unsent::Ended(outcome_of(cause))),
+        let rest = write_all(&stream, &[&head.as_bytes()[written..], body], until);
+        rest.map_err(|Unwritten { cause, .. }| Unsent::Ended(outcome_of(cause)))?;
+        Ok(stream)
+    }
+
+    /// Writes the first bytes of the request; its head, and how much of it was written. What the head says, and all that must
+    /// hold for it to be sent, is looked at again where these bytes do not leave at once.
+    fn begin(
+        &self,
+        attempt: &Attempt,
+        stream: &TcpStream,
+        idle: bool,
+        until: Instant,
+    ) -> Result<(String, usize), Unsent> {
+        let never = || Unsent::Ended(Outcome::NeverSent);
+        loop {
+            // Dialling took time, and the list may have changed in it: here, just before the first byte, the cache
+            // and the source must still be allowed and be the starts that the module meant, with time left.
+            let head = self.head(attempt, until).ok_or_else(never)?;
+            // Whoever owns a covered request may have lost it in any of these waits.
+            if attempt.guard.is_some_and(|guard| !guard.may_send()) {
+                return Err(never());
+            }
+            match stream::write(stream, head.as_bytes(), until.min(Instant::now() + FRESH)) {
+                Ok(written) => return Ok((head, written)),
+                Err(Stop::TimedOut | Stop::Failing(_)) if !attempt.slot.off(attempt.target.attempt) => {}
+                Err(Stop::TimedOut | Stop::Failing(_)) => return Err(never()),
+                Err(Stop::Over(_)) => return Err(unusable(idle)),
+            }
         }
     }
 
--- a/rigs/soak/src/plan.rs
+++ b/rigs/soak/src/plan.rs
@@ -134,6 +134,10 @@
     let error = *dice.one_of(errors);
     let written = if dice.chance(50) {
         writeln!(text, "{call} error={error} every={} skip=20", dice.number(3, 40))
+    } else if call != "poll" && dice.chance(50) {
+        // Each call, for less than a client waits beyond its time.
+        let from = dice.number(1_000, 1_000 + last_ms);
+        writeln!(text, "{call} error={error} from_ms={from} until_ms={}", from + dice.number(100, 400))
     } else {
         let from = dice.number(1_000, 1_000 + last_ms);
         let until = from + dice.number(100, 800);
--- a/shared/http1/src/io.rs
+++ b/shared/http1/src/io.rs
@@ -8,7 +8,7 @@
 impl From<Stop> for Broken {
     fn from(stop: Stop) -> Broken {
         match stop {
-            Stop::TimedOut => Broken::TimedOut,
+            Stop::TimedOut | Stop::Failing(_) => Broken::TimedOut,
             Stop::Over(_) => Broken::Reset,
         }
     }
--- a/shared/sockets/src/lib.rs
+++ b/shared/sockets/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod stream;
 pub mod timed;
 pub mod verdict;
+pub mod watch;
 
 pub use pauses::Pauses;
--- a/shared/sockets/src/stream.rs
+++ b/shared/sockets/src/stream.rs
@@ -2,16 +2,14 @@
 
 use crate::pauses::Pauses;
 use crate::verdict::{on_stream, OnStream};
-use socket2::SockRef;
+use crate::watch::{Call, Watch};
+use nix::sys::socket::{recv, send, MsgFlags};
 use std::io::{self, Read, Write};
-use std::mem::MaybeUninit;
 use std::net::{Shutdown, TcpStream};
+use std::os::fd::AsRawFd;
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Flags of `recv(2)` on Linux: look without taking, and without waiting.
-const MSG_PEEK: i32 = libc::MSG_PEEK;
-const MSG_DONTWAIT: i32 = libc::MSG_DONTWAIT;
 /// How often a call that never waits is made again, at once, where it fails for the moment.
 const TRIES: usize = 8;
 /// Taken at once where bytes are thrown away.
@@ -20,8 +18,10 @@
 /// Why a call brought nothing.
 #[derive(Debug)]
 pub enum Stop {
-    /// Its time is over.
+    /// Its time is over: nothing came, or nothing more was taken.
     TimedOut,
+    /// Its time is over, and the call had failed to the last, although the connection may be up.
+    Failing(io::Error),
     /// The connection has ended.
     Over(io::Error),
 }
@@ -39,50 +39,97 @@
 
 /// Reads some bytes; 0 is the end of what the peer sends.
 pub fn read(stream: &TcpStream, buffer: &mut [u8], until: Instant) -> Result<usize, Stop> {
-    repeat(until, |left| {
-        stream.set_read_timeout(Some(left))?;
-        (&mut &*stream).read(buffer)
-    })
+    read_watched(stream, buffer, until, &mut Watch::new(until))
+}
+
+/// As [`read`]; `watch` then knows when the bytes may have come.
+pub fn read_watched(
+    stream: &TcpStream,
+    buffer: &mut [u8],
+    until: Instant,
+    watch: &mut Watch,
+) -> Result<usize, Stop> {
+    let most = buffer.len();
+    let read = |left| match stream.set_read_timeout(Some(left)) {
+        Ok(()) => (&mut &*stream).read(buffer),
+        Err(_) => receive_now(stream, buffer, MsgFlags::empty()),
+    };
+    watched(until, watch, |count| *count < most, read)
 }
 
 /// Waits for bytes and leaves them; false is the end of what the peer sends.
-pub fn wait_for_bytes(stream: &TcpStream, until: Instant) -> Result<bool, Stop> {
-    repeat(until, |left| {
-        stream.set_read_timeout(Some(left))?;
-        Ok(stream.peek(&mut [0])? > 0)
-    })
+pub fn wait_for_bytes(stream: &TcpStream, until: Instant, watch: &mut Watch) -> Result<bool, Stop> {
+    let peek = |left| match stream.set_read_timeout(Some(left)) {
+        Ok(()) => stream.peek(&mut [0]),
+        Err(_) => receive_now(stream, &mut [0], MsgFlags::MSG_PEEK),
+    };
+    Ok(watched(until, watch, |_| false, peek)? > 0)
 }
 
 /// Writes some bytes, at least one.
 pub fn write(stream: &TcpStream, bytes: &[u8], until: Instant) -> Result<usize, Stop> {
-    repeat(until, |left| {
-        stream.set_write_timeout(Some(left))?;
-        match (&mut &*stream).write(bytes)? {
+    let (written, _) = repeat(until, |left| {
+        let written = match stream.set_write_timeout(Some(left)) {
+            Ok(()) => (&mut &*stream).write(bytes),
+            Err(_) => send_now(stream, bytes),
+        };
+        match written? {
             0 => Err(io::Error::from_raw_os_error(libc::EPIPE)),
             count => Ok(count),
         }
-    })
+    });
+    written
+}
+
+/// `recv(2)` without waiting. Also for a call whose time-out could not be set: that is no reason not to see what has come.
+fn receive_now(stream: &TcpStream, buffer: &mut [u8], flags: MsgFlags) -> io::Result<usize> {
+    Ok(recv(stream.as_raw_fd(), buffer, flags | MsgFlags::MSG_DONTWAIT)?)
+}
+
+/// `send(2)` without waiting.
+fn send_now(stream: &TcpStream, bytes: &[u8]) -> io::Result<usize> {
+    Ok(send(stream.as_raw_fd(), bytes, MsgFlags::MSG_DONTWAIT | MsgFlags::MSG_NOSIGNAL)?)
+}
+
+/// As [`repeat`], told to a watch. `drains`: whether what was read was all that stood there.
+fn watched<T>(
+    until: Instant,
+    watch: &mut Watch,
+    drains: impl FnOnce(&T) -> bool,
+    call: impl FnMut(Duration) -> io::Result<T>,
+) -> Result<T, Stop> {
+    let began = Instant::now();
+    let (done, failing_since) = repeat(until, call);
+    let drained = done.as_ref().is_ok_and(drains);
+    watch.over(Call { began, failing_since, drained, over: Instant::now() });
+    done
 }
 
 /// Makes a call until it succeeds, the connection has ended or the time is over. It is given the time that is left. An end
-/// has to be told twice in a row: a connection that has ended tells it each time.
-fn repeat<T>(until: Instant, mut call: impl FnMut(Duration) -> io::Result<T>) -> Result<T, Stop> {
+/// has to be told twice in a row: a connection that has ended tells it each time. Besides, since when the call had failed until
+/// right before that.
+fn repeat<T>(
+    until: Instant,
+    mut call: impl FnMut(Duration) -> io::Result<T>,
+) -> (Result<T, Stop>, Option<Instant>) {
     let mut pauses = Pauses::default();
-    let mut over = false;
+    let (mut over, mut failing_since, mut last) = (false, None, None);
     loop {
         let left = until.saturating_duration_since(Instant::now());
         if left.is_zero() {
-            return Err(Stop::TimedOut);
+            return (Err(last.map_or(Stop::TimedOut, Stop::Failing)), failing_since);
         }
         let error = match call(left) {
-            Ok(done) => return Ok(done),
+            Ok(done) => return (Ok(done), failing_since),
             Err(error) => error,
         };
+        failing_since.get_or_insert_with(Instant::now);
         let verdict = on_stream(&error);
         if verdict == OnStream::Over && over {
-            return Err(Stop::Over(error));
+            return (Err(Stop::Over(error)), failing_since);
         }
         over = verdict == OnStream::Over;
+        last = (verdict != OnStream::Again).then_some(error);
         let pause = pauses.before_next(verdict);
         thread::sleep(pause.min(until.saturating_duration_since(Instant::now())));
     }
@@ -90,10 +137,9 @@
 
 /// What has arrived and was not read. It neither waits nor takes it.
 pub fn arrived(stream: &TcpStream) -> Arrived {
-    let mut byte = [MaybeUninit::uninit()];
     let mut over = false;
     for _ in 0..TRIES {
-        match SockRef::from(stream).recv_with_flags(&mut byte, MSG_PEEK | MSG_DONTWAIT) {
+        match receive_now(stream, &mut [0], MsgFlags::MSG_PEEK) {
             Ok(0) => return Arrived::End,
             Ok(_) => return Arrived::Bytes,
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Arrived::Nothing,
@@ -106,10 +152,10 @@
 
 /// Throws away what has arrived, `most` bytes of it, without waiting, so that a close does not reset over it.
 pub fn drain(stream: &TcpStream, most: usize) {
-    let mut chunk = [MaybeUninit::uninit(); CHUNK];
+    let mut chunk = [0; CHUNK];
     let (mut left, mut failed) = (most, 0);
     while left > 0 && failed < TRIES {
-        match SockRef::from(stream).recv_with_flags(&mut chunk, MSG_DONTWAIT) {
+        match receive_now(stream, &mut chunk, MsgFlags::empty()) {
             Ok(0) => return,
             Ok(count) => left = left.saturating_sub(count),
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
--- a/shared/sockets/src/timed.rs
+++ b/shared/sockets/src/timed.rs
@@ -27,7 +27,7 @@
     fn from(stop: Stop) -> io::Error {
         match stop {
             Stop::TimedOut => ErrorKind::TimedOut.into(),
-            Stop::Over(error) => error,
+            Stop::Over(error) | Stop::Failing(error) => error,
         }
     }
 }
--- a/shared/sockets/tests/streams.rs
+++ b/shared/sockets/tests/streams.rs
@@ -1,6 +1,7 @@
 //! Calls on real connections over loopback: ends are told, and nothing else is taken for one.
 
 use foldmux_sockets::stream::{arrived, drain, read, shut, wait_for_bytes, write, Arrived, Stop};
+use foldmux_sockets::watch::Watch;
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
@@ -14,6 +15,10 @@
     (near, listener.accept().unwrap().0)
 }
 
+fn comes(stream: &TcpStream) -> Result<bool, Stop> {
+    wait_for_bytes(stream, soon(), &mut Watch::new(Instant::now()))
+}
+
 fn soon() -> Instant {
     Instant::now() + PATIENCE
 }
@@ -23,12 +28,12 @@
     let (near, mut far) = pair();
     assert_eq!(arrived(&near), Arrived::Nothing);
     far.write_all(b"abc").unwrap();
-    assert!(wait_for_bytes(&near, soon()).unwrap());
+    assert!(comes(&near).unwrap());
     assert_eq!(arrived(&near), Arrived::Bytes);
     let mut bytes = [0; 8];
     assert_eq!(read(&near, &mut bytes, soon()).unwrap(), 3);
     drop(far);
-    assert!(!wait_for_bytes(&near, soon()).unwrap());
+    assert!(!comes(&near).unwrap());
     assert_eq!(arrived(&near), Arrived::End);
 }
 
@@ -48,14 +53,14 @@
 fn a_reset_is_an_end_for_whoever_reads_and_whoever_writes() {
     let (near, far) = pair();
     assert_eq!(write(&near, b"unread", soon()).unwrap(), 6);
-    assert!(wait_for_bytes(&far, soon()).unwrap());
+    assert!(comes(&far).unwrap());
     // Closed over bytes that nobody read.
     drop(far);
     let ended = loop {
         match read(&near, &mut [0], soon()) {
             Ok(0) | Err(Stop::Over(_)) => break true,
             Ok(_) => {}
-            Err(Stop::TimedOut) => break false,
+            Err(Stop::TimedOut | Stop::Failing(_)) => break false,
         }
     };
     assert!(ended);
@@ -66,7 +71,7 @@
 fn what_was_drained_is_gone_and_a_connection_shut_twice_has_ended() {
     let (near, mut far) = pair();
     far.write_all(&[7; 10_000]).unwrap();
-    assert!(wait_for_bytes(&near, soon()).unwrap());
+    assert!(comes(&near).unwrap());
     drop(far);
     // All has arrived once the end has.
     let mut left = 10_000;
