--- a/rigs/rig/tests/takeover_again.rs
+++ b/rigs/rig/tests/takeover_again.rs
@@ -22,13 +22,20 @@
     at: impl Fn(usize) -> usize,
     then: impl FnOnce(),
 ) {
-    thread::scope(|scope| {
-        for (n, name) in names.iter().enumerate() {
+    let served_all = thread::scope(|scope| {
+        let asked = names.iter().enumerate().map(|(n, name)| {
             let process = at(n);
-            scope.spawn(move || served(&mut fleet.customer(patience), process, patience, name));
-        }
+            scope.spawn(move || served(&mut fleet.customer(patience), process, patience, name))
+        });
+        let asked: Vec<_> = asked.collect();
         then();
+        // Each is waited for, also behind one that was not served.
+        asked.into_iter().fold(true, |all, one| one.join().is_ok() && all)
     });
+    if !served_all {
+        (0..fleet.size()).for_each(|n| println!("n{n}:\n{}", fleet.log(n).join("\n")));
+    }
+    assert!(served_all, "not all were served; the processes' logs stand above");
 }
 
 fn names(of: u64, count: u64) -> Vec<String> {
