--- a/rigs/rig/tests/takeover_again.rs
+++ b/rigs/rig/tests/takeover_again.rs
@@ -30,7 +30,8 @@
         let asked: Vec<_> = asked.collect();
         then();
         // Each is waited for, also behind one that was not served.
-        asked.into_iter().fold(true, |all, one| one.join().is_ok() && all)
+        let joined: Vec<bool> = asked.into_iter().map(|one| one.join().is_ok()).collect();
+        joined.into_iter().all(|served| served)
     });
     if !served_all {
         (0..fleet.size()).for_each(|n| println!("n{n}:\n{}", fleet.log(n).join("\n")));
