--- a/shared/peers/src/lib.rs
+++ b/shared/peers/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod hello;
 pub mod link;
 pub mod links;
+mod listen;
 pub mod live;
 pub mod wire;
 
--- a/shared/peers/src/links.rs
+++ b/shared/peers/src/links.rs
@@ -4,6 +4,7 @@
 use crate::frame::Way;
 use crate::hello::{Begun, Own, Refused};
 use crate::link::Link;
+use crate::listen::{listen, LOOK_EVERY};
 use crate::live::Live;
 use crate::wire::{self, DeadlineReader};
 use crate::{Config, Counts, Incoming, Session};
@@ -12,7 +13,6 @@
 use foldmux_sockets::dial::dial;
 use foldmux_sockets::stream;
 use foldmux_sockets::verdict::{on_accept, OnAccept};
-use socket2::{Domain, Protocol, Socket, Type};
 use std::io;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -21,9 +21,6 @@
 use std::time::{Duration, Instant, SystemTime};
 
 const STACK: usize = 128 * 1024;
-/// How often the acceptor looks whether it is to end, or whether an address in use has come free.
-const LOOK_EVERY: Duration = Duration::from_millis(50);
-const BACKLOG: i32 = 128;
 
 struct Shared {
     config: Config,
@@ -126,18 +123,6 @@
     }
 }
 
-/// None where another has the address.
-fn listen(address: SocketAddr) -> io::Result<Option<TcpListener>> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_reuse_address(true)?;
-    match socket.bind(&address.into()).and_then(|()| socket.listen(BACKLOG)) {
-        Err(e) if e.kind() == io::ErrorKind::AddrInUse => return Ok(None),
-        bound => bound?,
-    }
-    socket.set_read_timeout(Some(LOOK_EVERY))?;
-    Ok(Some(socket.into()))
-}
-
 impl Shared {
     fn spawn(self: &Arc<Shared>, name: &str, body: impl FnOnce() + Send + 'static) -> io::Result<()> {
         let thread = thread::Builder::new().name(name.to_string()).stack_size(STACK).spawn(body)?;
