Review: a test that is told to end, or is killed, leaves no process behind

Cause: the cases ended their proxy only where they came to their own end. Stopped by a signal, the script left it running.

Change: SIGTERM, SIGINT and SIGHUP end what was started and give 2; where the script is killed, the system ends the proxy with it.

--- a/review/rig.py
+++ b/review/rig.py
@@ -4,10 +4,12 @@
 answered and run into record.txt beside its script.
 """
 
+import ctypes
 import json
 import os
 import random
 import shutil
+import signal
 import socket
 import struct
 import subprocess
@@ -378,6 +380,15 @@
 
 # ---- the program ----
 
+LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_the_test():
+    """In the new process: the system ends it once the test is gone, also where that was killed."""
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Proxy:
     """The program, started by the deploy file's `run` through /bin/sh, as the platform does."""
 
@@ -396,7 +407,7 @@
         self.log_path = log or os.path.join(folder, "log-%s.txt" % new_id())
         self.log = open(self.log_path, "w")
         self.process = subprocess.Popen(["/bin/sh", "-c", run + arguments], cwd=ROOT, env=env, stdin=subprocess.DEVNULL,
-                                        stdout=self.log, stderr=self.log)
+                                        stdout=self.log, stderr=self.log, preexec_fn=end_with_the_test)
 
     def wait_ready(self, seconds=20):
         until = time.time() + seconds
@@ -435,8 +446,19 @@
     return made
 
 
+class Stopped(Exception):
+    """Somebody ends the test."""
+
+
+def stop(number, frame):
+    raise Stopped("signal %d" % number)
+
+
 def main(folder, case):
-    """Runs `case(record, folder)` in a temporary folder; its result is the exit status."""
+    """Runs `case(record, work, started)` with a temporary folder; its result is the exit status. All that was started is
+    ended, also where the test is told to end."""
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, stop)
     record = Record(folder)
     work = tempfile.mkdtemp(prefix="foldmux-review-")
     started = []
