Read a late second response of a cache as nobody's: quiet before reuse, distrust after surplus

With writes and responses of every status, writes were confirmed that never ran, and single-shot writes ran twice.

Cause: an HTTP/1.1 response does not name its request. The pool preferred a connection that had been idle for 50 ms, and took one that had just come back where there was no other; the hub took the one used last.

Evidence: tests in edge/upstream and hub send the second response after the next request was read.

Change: IdleConnections (foldmux_http1::reuse), shared by pool and hub. A connection carries its next request only after 100 ms of quiet, 1 s where the class must not run twice (new in the router's Fetch: is_idempotent; no decision changes). A server that sent surplus bytes gets one request a connection for 60 s; the log tells it.

--- a/edge/upstream/src/attempt.rs
+++ b/edge/upstream/src/attempt.rs
@@ -8,6 +8,7 @@
 use foldmux_core::cancellation::Cancellable;
 use foldmux_http1::io::{is_quiet, write_all, Quiet, Unwritten};
 use foldmux_http1::read_response;
+use foldmux_http1::reuse::reuse_delay;
 use foldmux_sockets::stream::{self, Stop};
 use std::net::{Shutdown, TcpStream};
 use std::sync::Arc;
@@ -69,7 +70,8 @@
         else {
             return AttemptResult::without(Outcome::NeverSent);
         };
-        let Some(mut connection) = self.pool.acquire(fetch.cache, incarnation) else {
+        let min_idle = reuse_delay(fetch.is_idempotent);
+        let Some(mut connection) = self.pool.acquire(fetch.cache, incarnation, min_idle) else {
             return AttemptResult::without(Outcome::NeverSent);
         };
         loop {
@@ -209,6 +211,7 @@
                 load.into_iter()
                     .for_each(|at| on_report(attempt.fetch.cache, incarnation, &buffer[at]));
                 connection.reusable = response.reusable;
+                connection.has_surplus = response.has_surplus;
                 judge(response, buffer, attempt.request.etag.as_deref())
             }
             Err(broken) => AttemptResult::without(outcome_of(broken)),
--- a/edge/upstream/src/pool.rs
+++ b/edge/upstream/src/pool.rs
@@ -5,13 +5,13 @@
 
 use foldmux::interface::CacheId;
 use foldmux_core::servers::Incarnation;
-use foldmux_http1::io::quiet;
+use foldmux_http1::reuse::{IdleConnections, DISTRUST_TIME};
 use foldmux_sockets::dial::{dial, StillWanted};
 use std::collections::HashMap;
 use std::io;
 use std::net::TcpStream;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Connections to all servers.
 pub struct Pool {
@@ -21,64 +21,65 @@
     max_idle: Duration,
 }
 
-/// How long a connection is idle before it is preferred to others. A second response to the same request may come some
-/// milliseconds after the first: by then it is seen before the next request is written.
-const SETTLED: Duration = Duration::from_millis(50);
-
 #[derive(Default)]
 struct State {
-    caches: HashMap<CacheId, IdleConnections>,
+    servers: HashMap<CacheId, ServerConnections>,
     in_use: usize,
 }
 
-/// The idle connections to one server. A used connection returns only to the generation that it came from: where that was
-/// discarded since, it is closed, as it would hold a place at a server that drains.
-#[derive(Default)]
-struct IdleConnections {
-    idle: Vec<IdleConnection>,
+/// The connections to one incarnation of a server.
+struct ServerConnections {
+    incarnation: Incarnation,
+    idle: IdleConnections,
+    /// A used connection returns only to the generation that it came from: where that was discarded since, it is closed, as
+    /// it would hold a place at a server that drains.
     generation: Arc<()>,
 }
 
-impl IdleConnections {
-    /// Takes out an idle connection to this incarnation that is alive, if there is one.
-    fn take(&mut self, incarnation: Incarnation, keep: Duration) -> Option<Arc<TcpStream>> {
-        loop {
-            let connection = self.next()?;
-            if connection.incarnation == incarnation
-                && connection.idle_since.elapsed() < keep
-                && quiet(&connection.stream)
-            {
-                return Some(connection.stream);
-            }
+impl ServerConnections {
+    fn new(incarnation: Incarnation) -> ServerConnections {
+        ServerConnections {
+            incarnation,
+            idle: IdleConnections::default(),
+            generation: Arc::default(),
         }
     }
 
-    /// Of the settled ones the most recently used, so that the others can expire; else the one that is idle for longest.
-    fn next(&mut self) -> Option<IdleConnection> {
-        let settled = self
-            .idle
-            .partition_point(|connection| connection.idle_since.elapsed() >= SETTLED);
-        (!self.idle.is_empty()).then(|| self.idle.remove(settled.saturating_sub(1)))
-    }
-
     fn is_unused(&self) -> bool {
-        self.idle.is_empty() && Arc::strong_count(&self.generation) == 1
+        let none_in_use = Arc::strong_count(&self.generation) == 1;
+        self.idle.is_empty() && none_in_use && !self.idle.is_distrusted()
     }
 }
 
 impl State {
     fn idle_count(&self) -> usize {
-        self.caches
-            .values()
-            .map(|idle_connections| idle_connections.idle.len())
-            .sum()
+        self.servers.values().map(|server| server.idle.len()).sum()
     }
-}
 
-struct IdleConnection {
-    stream: Arc<TcpStream>,
-    incarnation: Incarnation,
-    idle_since: Instant,
+    /// The connections to this incarnation. Those to another one are closed.
+    fn server(&mut self, cache: CacheId, incarnation: Incarnation) -> &mut ServerConnections {
+        let server = self
+            .servers
+            .entry(cache)
+            .or_insert_with(|| ServerConnections::new(incarnation));
+        if server.incarnation != incarnation {
+            *server = ServerConnections::new(incarnation);
+        }
+        server
+    }
+
+    /// Closes the connection that has been idle for longest; false if none is idle.
+    fn close_oldest(&mut self) -> bool {
+        let with_idle = self.servers.values_mut();
+        let oldest = with_idle
+            .filter_map(|server| Some((server.idle.oldest()?, server)))
+            .min_by_key(|(idle_since, _)| *idle_since);
+        match oldest {
+            Some((_, server)) => server.idle.close_oldest(),
+            None => return false,
+        }
+        true
+    }
 }
 
 /// A connection in use, or the place for one that is to be dialled.
@@ -92,6 +93,8 @@
     was_idle: bool,
     /// The last response was read completely: the connection may be used again.
     pub reusable: bool,
+    /// Bytes came behind the last response: the server is not trusted with another request on a used connection.
+    pub has_surplus: bool,
 }
 
 impl PooledConnection {
@@ -143,17 +146,17 @@
     fn drop(&mut self) {
         let mut state = self.pool.state();
         state.in_use -= 1;
-        if let (true, Some(stream)) = (self.reusable, self.stream.take()) {
-            let connection = IdleConnection {
-                stream,
-                incarnation: self.incarnation,
-                idle_since: Instant::now(),
-            };
-            if let Some(idle_connections) = state.caches.get_mut(&self.cache) {
-                if Arc::ptr_eq(&idle_connections.generation, &self.generation) {
-                    idle_connections.idle.push(connection);
-                }
-            }
+        let Some(server) = state
+            .servers
+            .get_mut(&self.cache)
+            .filter(|server| Arc::ptr_eq(&server.generation, &self.generation))
+        else {
+            return;
+        };
+        if self.has_surplus {
+            self.pool.report_surplus(self.cache, server);
+        } else if let (true, Some(stream)) = (self.reusable, self.stream.take()) {
+            server.idle.put(stream);
         }
     }
 }
@@ -172,57 +175,65 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// An idle connection to this incarnation of the server, if one is alive, else the place to dial one; `None` where all places
-    /// are in use.
+    /// A connection to this incarnation of the server that is alive and has been idle for `min_idle`, if there is one, else the
+    /// place to dial one; `None` where all places are in use. `min_idle` is the request's
+    /// [`reuse_delay`](foldmux_http1::reuse::reuse_delay): a connection on which a late second response may still come is not
+    /// used.
     pub fn acquire(
         self: &Arc<Self>,
         cache: CacheId,
         incarnation: Incarnation,
+        min_idle: Duration,
     ) -> Option<PooledConnection> {
         let mut state = self.state();
-        let idle_connections = state.caches.entry(cache).or_default();
-        let generation = idle_connections.generation.clone();
-        let stream = idle_connections.take(incarnation, self.max_idle);
-        if stream.is_none() && state.in_use + state.idle_count() >= self.max_connections {
-            // The connection that is idle for longest gives way.
-            let idle = state
-                .caches
-                .values_mut()
-                .filter(|idle_connections| !idle_connections.idle.is_empty());
-            idle.min_by_key(|idle_connections| idle_connections.idle[0].idle_since)?
-                .idle
-                .remove(0);
+        let server = state.server(cache, incarnation);
+        let generation = server.generation.clone();
+        let was_distrusted = server.idle.is_distrusted();
+        let stream = server.idle.take(min_idle, self.max_idle);
+        if server.idle.is_distrusted() && !was_distrusted {
+            log_distrust(cache);
+        }
+        if stream.is_none()
+            && state.in_use + state.idle_count() >= self.max_connections
+            && !state.close_oldest()
+        {
+            return None;
         }
         state.in_use += 1;
-        let idle = stream.is_some();
+        let was_idle = stream.is_some();
         Some(PooledConnection {
             pool: self.clone(),
             cache,
             incarnation,
             generation,
             stream,
-            was_idle: idle,
+            was_idle,
             reusable: false,
+            has_surplus: false,
         })
     }
 
+    fn report_surplus(&self, cache: CacheId, server: &mut ServerConnections) {
+        if !server.idle.is_distrusted() {
+            log_distrust(cache);
+        }
+        server.idle.report_surplus();
+    }
+
     /// Closes connections that are idle for too long.
     pub fn sweep(&self) {
         let mut state = self.state();
-        state.caches.values_mut().for_each(|idle_connections| {
-            idle_connections
-                .idle
-                .retain(|k| k.idle_since.elapsed() < self.max_idle)
-        });
         state
-            .caches
-            .retain(|_, idle_connections| !idle_connections.is_unused());
+            .servers
+            .values_mut()
+            .for_each(|server| server.idle.expire(self.max_idle));
+        state.servers.retain(|_, server| !server.is_unused());
     }
 
     /// Closes the idle connections of a server that drains, is gone, has restarted or moved; those in use are closed when they
     /// return.
     pub fn discard(&self, cache: CacheId) {
-        self.state().caches.remove(&cache);
+        self.state().servers.remove(&cache);
     }
 
     /// Connections in use, and idle ones.
@@ -232,5 +243,12 @@
     }
 }
 
+fn log_distrust(cache: CacheId) {
+    tracing::info!(
+        "cache {:08x}: bytes came behind a response; its connections carry one request each for {DISTRUST_TIME:?}",
+        cache.0
+    );
+}
+
 #[cfg(test)]
 mod tests;
--- a/edge/upstream/src/pool/tests.rs
+++ b/edge/upstream/src/pool/tests.rs
@@ -1,8 +1,9 @@
 //! What the pool keeps, lends and closes.
 
 use super::*;
+use foldmux_http1::reuse::REUSE_DELAY;
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener};
+use std::net::TcpListener;
 
 const CACHE: CacheId = CacheId(1);
 /// Longer than a test takes.
@@ -10,7 +11,7 @@
 
 /// Lends and gives back a connection; the other side of it.
 fn give_back(pool: &Arc<Pool>, listener: &TcpListener, start: Incarnation) -> TcpStream {
-    let mut loan = pool.acquire(CACHE, start).unwrap();
+    let mut loan = pool.acquire(CACHE, start, HOUR).unwrap();
     assert!(loan.stream.is_none());
     loan.stream(Duration::from_secs(5)).unwrap();
     loan.reusable = true;
@@ -18,7 +19,8 @@
 }
 
 fn lends_idle(pool: &Arc<Pool>, start: Incarnation) -> bool {
-    pool.acquire(CACHE, start).unwrap().stream.is_some()
+    let loan = pool.acquire(CACHE, start, Duration::ZERO).unwrap();
+    loan.stream.is_some()
 }
 
 #[test]
@@ -45,8 +47,11 @@
     ));
     // Closed by the other side; an answer that nobody asked for.
     for speaks in [false, true] {
-        let mut far = give_back(&pool, &listener, start);
-        let near = pool.state().caches[&CACHE].idle[0].stream.clone();
+        let mut loan = pool.acquire(CACHE, start, HOUR).unwrap();
+        let near = loan.stream(Duration::from_secs(5)).unwrap();
+        loan.reusable = true;
+        drop(loan);
+        let mut far = listener.accept().unwrap().0;
         if speaks {
             far.write_all(b"x").unwrap();
         } else {
@@ -67,9 +72,9 @@
     let pool = Pool::new(1, Duration::from_secs(60));
     let _far = give_back(&pool, &listener, start);
     // The only place goes to a request for another cache; while that is out there is none.
-    let loan = pool.acquire(CacheId(2), start).unwrap();
+    let loan = pool.acquire(CacheId(2), start, REUSE_DELAY).unwrap();
     assert_eq!(pool.count(), (1, 0));
-    assert!(pool.acquire(CACHE, start).is_none());
+    assert!(pool.acquire(CACHE, start, REUSE_DELAY).is_none());
     drop(loan);
     let _far = give_back(&pool, &listener, start);
     pool.discard(CACHE);
@@ -89,7 +94,7 @@
     };
     let pool = Pool::new(8, Duration::from_secs(60));
     let lent = |pool: &Arc<Pool>| {
-        let mut loan = pool.acquire(CACHE, start).unwrap();
+        let mut loan = pool.acquire(CACHE, start, HOUR).unwrap();
         loan.stream(Duration::from_secs(5)).unwrap();
         loan.reusable = true;
         loan
@@ -110,7 +115,7 @@
 /// The other side of each of three idle connections, in the order in which the pool took them back.
 fn three_idle(pool: &Arc<Pool>, listener: &TcpListener, start: Incarnation) -> Vec<TcpStream> {
     let loans: Vec<PooledConnection> = (0..3)
-        .map(|_| pool.acquire(CACHE, start).unwrap())
+        .map(|_| pool.acquire(CACHE, start, HOUR).unwrap())
         .collect();
     let dialled = loans.into_iter().map(|mut loan| {
         loan.stream(Duration::from_secs(5)).unwrap();
@@ -120,58 +125,30 @@
     dialled.collect()
 }
 
-/// The local address of the connection that is lent next.
-fn lent_next(pool: &Arc<Pool>, start: Incarnation) -> SocketAddr {
-    let mut loan = pool.acquire(CACHE, start).unwrap();
-    loan.reusable = true;
-    let stream = loan.stream.as_ref().expect("an idle connection");
-    stream.local_addr().unwrap()
-}
-
 #[test]
-fn a_connection_that_has_just_come_back_rests_while_another_one_is_idle() {
+fn surplus_behind_a_response_closes_the_servers_idle_connections_and_keeps_no_others() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let start = Incarnation {
         started_at: 0,
         address: listener.local_addr().unwrap(),
     };
     let pool = Pool::new(8, Duration::from_secs(60));
-    let far = three_idle(&pool, &listener, start);
-    let near: Vec<SocketAddr> = far
-        .iter()
-        .map(|stream| stream.peer_addr().unwrap())
-        .collect();
-    let came_back = |ages: [Duration; 3]| {
-        let mut state = pool.state();
-        let shelf = state.caches.get_mut(&CACHE).unwrap();
-        shelf.idle.sort_by_key(|kept| {
-            near.iter()
-                .position(|at| kept.stream.local_addr().unwrap() == *at)
-        });
-        let now = Instant::now();
-        // None of them settles while the test runs: what is to be fresh came back in an hour.
-        shelf
-            .idle
-            .iter_mut()
-            .zip(ages)
-            .for_each(|(kept, age)| kept.idle_since = now + HOUR - age);
+    let _far = three_idle(&pool, &listener, start);
+    let mut loan = pool.acquire(CACHE, start, HOUR).unwrap();
+    loan.stream(Duration::from_secs(5)).unwrap();
+    (loan.reusable, loan.has_surplus) = (false, true);
+    drop(loan);
+    assert_eq!(pool.count(), (0, 0));
+    pool.sweep();
+    let _far = give_back(&pool, &listener, start);
+    assert_eq!(pool.count(), (0, 0), "also after a sweep");
+    // Its next incarnation is another server.
+    let next = Incarnation {
+        started_at: 9,
+        ..start
     };
-    let (settled, fresh) = (HOUR + SETTLED, Duration::ZERO);
-    // A late second answer on the third would be seen by whoever takes it later.
-    came_back([settled + SETTLED, settled, fresh]);
-    assert_eq!(
-        lent_next(&pool, start),
-        near[1],
-        "the one used last of those that have settled"
-    );
-    came_back([fresh; 3]);
-    assert_eq!(
-        lent_next(&pool, start),
-        near[0],
-        "the one that has rested for longest"
-    );
-    came_back([settled; 3]);
-    assert_eq!(lent_next(&pool, start), near[2]);
+    let _far = give_back(&pool, &listener, next);
+    assert_eq!(pool.count(), (0, 1));
 }
 
 #[test]
@@ -191,16 +168,22 @@
         address: other.local_addr().unwrap(),
     };
     let mut loans: Vec<PooledConnection> = (0..3)
-        .map(|_| pool.acquire(CacheId(2), live).expect("a place"))
+        .map(|_| {
+            pool.acquire(CacheId(2), live, REUSE_DELAY)
+                .expect("a place")
+        })
         .collect();
     assert_eq!(pool.count(), (3, 0));
     assert!(loans
         .iter_mut()
         .all(|loan| loan.stream(Duration::from_secs(5)).is_ok()));
     assert!(
-        pool.acquire(CacheId(2), live).is_none(),
+        pool.acquire(CacheId(2), live, REUSE_DELAY).is_none(),
         "all places are out"
     );
     loans.truncate(1);
-    assert!(pool.acquire(CACHE, start).is_some(), "one came back");
+    assert!(
+        pool.acquire(CACHE, start, REUSE_DELAY).is_some(),
+        "one came back"
+    );
 }
--- a/edge/upstream/src/probe.rs
+++ b/edge/upstream/src/probe.rs
@@ -11,6 +11,7 @@
 use foldmux_http1::answer::MOST_HEAD;
 use foldmux_http1::io::write_all;
 use foldmux_http1::read_response;
+use foldmux_http1::reuse::REUSE_DELAY;
 use foldmux_load_reports::{Fields, Load};
 use std::sync::Arc;
 use std::thread;
@@ -113,7 +114,7 @@
     buffer: &mut [u8],
 ) -> Option<(bool, Load)> {
     let Server { address, .. } = context.servers.get_accepting(cache, Some(incarnation))?;
-    let mut connection = context.pool.acquire(cache, incarnation)?;
+    let mut connection = context.pool.acquire(cache, incarnation, REUSE_DELAY)?;
     let stream = connection.stream(context.timeout).ok()?;
     // The endpoint list may have changed while dialling.
     context.servers.get_accepting(cache, Some(incarnation))?;
@@ -126,6 +127,7 @@
     write_all(&stream, &[head.as_bytes()], until).ok()?;
     let response = read_response(&stream, buffer, until).ok()?;
     connection.reusable = response.reusable;
+    connection.has_surplus = response.has_surplus;
     let load = response
         .load
         .map_or(Load::default(), |at| context.fields.read(&buffer[at]));
--- a/edge/upstream/src/proof/tests.rs
+++ b/edge/upstream/src/proof/tests.rs
@@ -10,6 +10,7 @@
             status,
             body: 5..6,
             reusable: true,
+            has_surplus: false,
             untouched,
             load: None,
             tag,
--- a/edge/upstream/tests/answers.rs
+++ b/edge/upstream/tests/answers.rs
@@ -53,10 +53,10 @@
 
 #[test]
 fn an_answer_that_is_cut_is_none_wherever_it_is_cut() {
-    let rig = Rig::new();
     let whole = ok("hello");
     let chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
     for text in [whole.as_str(), chunked] {
+        let rig = Rig::new();
         for length in [0, 1, 12, 20, text.len() - 7, text.len() - 2, text.len() - 1] {
             assert_eq!(
                 closed_after(&rig, &text[..length]),
--- a/edge/upstream/tests/common/mod.rs
+++ b/edge/upstream/tests/common/mod.rs
@@ -17,6 +17,7 @@
 use foldmux_core::records::{AttemptIntent, OwnedRecord};
 use foldmux_core::request::ClientRequest;
 use foldmux_core::servers::{Server, ServerList};
+use foldmux_http1::reuse::REUSE_DELAY;
 use foldmux_upstream::{pool::Pool, Upstream};
 use std::net::{TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -128,8 +129,15 @@
         accept(self.listener())
     }
 
-    /// A connection that was used once and is idle in the pool; the cache's end of it.
+    /// A connection that was used once and has been idle in the pool for long enough to be used again; the cache's end of it.
     pub fn idle(&self) -> TcpStream {
+        let stream = self.just_used();
+        std::thread::sleep(REUSE_DELAY);
+        stream
+    }
+
+    /// A connection that was used once and has just come back to the pool; the cache's end of it.
+    pub fn just_used(&self) -> TcpStream {
         let (outcome, _, stream) = self.during(&self.asked(), || {
             let stream = self.accept();
             read_head(&stream);
--- a/edge/upstream/tests/common/requests.rs
+++ b/edge/upstream/tests/common/requests.rs
@@ -12,6 +12,7 @@
         id: RequestId(1),
         cache: CACHE,
         timeout: 0,
+        is_idempotent: true,
         send_before: 0,
         source: CACHE,
         retention_rank: 0,
--- a/edge/upstream/tests/common/sockets.rs
+++ b/edge/upstream/tests/common/sockets.rs
@@ -79,6 +79,18 @@
     }
 }
 
+/// Asks until there is an answer; a test in which there never is one fails.
+pub fn until_some<T>(mut answer: impl FnMut() -> Option<T>) -> T {
+    let end = Instant::now() + PATIENCE;
+    loop {
+        if let Some(answer) = answer() {
+            return answer;
+        }
+        assert!(Instant::now() < end, "never");
+        std::thread::sleep(Duration::from_millis(1));
+    }
+}
+
 /// Closes the cache's end of a connection, and waits until the other end knows. With bytes that were not read this is a
 /// reset.
 pub fn close(stream: TcpStream) {
--- a/edge/upstream/tests/idle.rs
+++ b/edge/upstream/tests/idle.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use foldmux::interface::Outcome;
+use foldmux_http1::reuse::REUSE_DELAY;
 
 /// The cache's part on the connection that is dialled in the place of the idle one.
 fn serves_anew(rig: &Rig) -> String {
@@ -29,6 +30,7 @@
         (outcome, rig.upstream.pool.count()),
         (Outcome::Served, (0, 1))
     );
+    std::thread::sleep(REUSE_DELAY);
     stream
 }
 
--- a/edge/upstream/tests/probes.rs
+++ b/edge/upstream/tests/probes.rs
@@ -2,6 +2,7 @@
 
 use foldmux::interface::{CacheId, Member, MemberState};
 use foldmux_core::servers::{Server, ServerList};
+use foldmux_http1::reuse::REUSE_DELAY;
 use foldmux_load_reports::{Fields, Load};
 use foldmux_upstream::pool::Pool;
 use foldmux_upstream::probe::{Prober, MAX_PROBES, MAX_QUEUED_PROBES};
@@ -123,6 +124,7 @@
             ..Load::default()
         };
         assert_eq!(rig.next(), (CacheId(1), well, load));
+        std::thread::sleep(REUSE_DELAY);
         assert!(
             rig.probe(1),
             "on the same connection, or the next answer is never asked for"
--- a/hub/src/exchange.rs
+++ b/hub/src/exchange.rs
@@ -98,6 +98,9 @@
         Err(Broken::Reset) if filled == 0 => return (off(End::Unreached), None),
         Err(_) => return (off(End::Failed), None),
     };
+    // What came with the end of the head already.
+    let has_surplus =
+        matches!(length, Length::Known(length) if filled - response.body.start > length);
     let hold_only = target.choice.only_if_cached;
     let (end, whole) = take(
         hub,
@@ -114,7 +117,9 @@
     );
     // Guards against an end shutting a connection that is another fetch's by then.
     fill.flight.release(attempt);
-    if whole && response.reusable {
+    if has_surplus {
+        hub.links.report_surplus(target.address);
+    } else if whole && response.reusable {
         hub.links.give_back(target.address, stream.clone());
     }
     (off(end), told.since_ms)
--- a/rigs/fakes/src/source.rs
+++ b/rigs/fakes/src/source.rs
@@ -48,6 +48,8 @@
         length: usize,
         bytes: usize,
     },
+    /// Does the act, and the same once more so long after it.
+    Twice(Box<Act>, Duration),
     /// Just a head, with these fields.
     Say { status: u16, fields: String },
     /// A connection that is closed without a word.
@@ -267,6 +269,17 @@
             let head = format!("HTTP/1.1 {status} Said\r\n{fields}Content-Length: 0\r\n\r\n");
             write_all(stream, &[head.as_bytes()], until).is_ok()
         }
+        Act::Twice(act, delay) => {
+            let keep = carry_out(stream, ask, (*act).clone());
+            if let Ok(stream) = stream.try_clone() {
+                let ask = ask.clone();
+                std::thread::spawn(move || {
+                    std::thread::sleep(delay);
+                    carry_out(&stream, &ask, *act)
+                });
+            }
+            keep
+        }
         Act::Reset => false,
         Act::Silence(time) => {
             let _ = stream.set_read_timeout(Some(time.max(Duration::from_millis(1))));
--- a/shared/http1/src/answer.rs
+++ b/shared/http1/src/answer.rs
@@ -31,7 +31,7 @@
                     return Err(Broken::Reset);
                 }
             }
-            response.reusable &= filled == start + n;
+            response.has_surplus = filled > start + n;
             response.body = start..start + n;
         }
         Length::Chunked => {
@@ -74,10 +74,11 @@
                     break;
                 }
             }
-            response.reusable &= at == filled;
+            response.has_surplus = filled > at;
             response.body = start..end;
         }
     }
+    response.reusable &= !response.has_surplus;
     Ok(response)
 }
 
--- a/shared/http1/src/answer/head.rs
+++ b/shared/http1/src/answer/head.rs
@@ -9,6 +9,8 @@
     pub body: Range<usize>,
     /// The connection may carry another request.
     pub reusable: bool,
+    /// Bytes came behind the response that belong to no request.
+    pub has_surplus: bool,
     /// `Srv-Untouched: 1`.
     pub untouched: bool,
     /// Where the value of `Srv-Load` stands in the buffer; of two such fields neither counts.
@@ -151,6 +153,7 @@
             status,
             body: start..start,
             reusable: self.reusable,
+            has_surplus: false,
             untouched: self.untouched,
             load: self.load.place(),
             tag: self.tag.place(),
--- a/src/interface/actions.rs
+++ b/src/interface/actions.rs
@@ -56,6 +56,8 @@
     pub cache: CacheId,
     /// How long to wait for the response; 0 waits until the client gives up.
     pub timeout: Time,
+    /// The request may be executed any number of times.
+    pub is_idempotent: bool,
     /// The moment before which the first byte must be sent; 0 sets no bound. A retry of a request with an
     /// idempotency key is safe only while the caches remember the key.
     pub send_before: Time,
--- a/src/router/fetch.rs
+++ b/src/router/fetch.rs
@@ -39,6 +39,7 @@
             id,
             cache: plan.cache,
             timeout: timeout(now, request, class, plan).unwrap_or(0),
+            is_idempotent: class.retry_safety == RetrySafety::Idempotent,
             send_before: first_sent.map_or(0, |sent| class.retry_before(sent)),
             source: plan.source,
             retention_rank: self.retention_rank(now, request, class),
