Look at purges right before an attempt's first byte, not only when it is decided

Cause: the router bounds a copy's age when it decides on an attempt. After that the attempt may wait for a backoff, a permit, its record or its connection; list, record and repeat window were looked at again before the first byte, purges were not.

Evidence: edge/upstream/tests/purges.rs records a purge once the attempt has its connection, edge/proxy/tests/ purges.rs tells one in a backoff of the real program, edge/core and hub tests do so for a kept route and for the next source of a fetch. Without the look each of the four failed (no X-Max-Age-Ms); with it they pass.

Change: the event loop records purges in RecentPurges before it tells the router; the head of a request is made with the stricter of both bounds, by the router's own rule (PurgeLog, now public), and without serving stale copies. DelegatedRequest::refresh does the same for ways that the external processor kept; the hub reads its fence when it makes the head. EventLoopHandle has a file of its own. Decisions of the router are unchanged.

--- a/edge/core/src/core.rs
+++ b/edge/core/src/core.rs
@@ -5,7 +5,7 @@
 use crate::buffers::BufferPool;
 use crate::cancellation::CancelHandle;
 use crate::clock::Clock;
-use crate::event_loop::EventLoopHandle;
+use crate::event_loop_handle::EventLoopHandle;
 use crate::lifecycle::run;
 use crate::limits::Limiter;
 use crate::log_throttle::LogThrottle;
--- a/edge/core/src/delegated.rs
+++ b/edge/core/src/delegated.rs
@@ -49,6 +49,9 @@
     core: Arc<Core>,
     id: RequestId,
     in_flight: Option<InFlightAttempt>,
+    object: u64,
+    /// The object's purge group.
+    group: u32,
     /// When the client gives up.
     pub deadline: Instant,
 }
@@ -71,6 +74,8 @@
             core: core.clone(),
             id: cancel.id,
             in_flight: None,
+            object: request.object,
+            group: request.group,
             deadline: request.deadline(),
         };
         if is_full {
@@ -116,8 +121,10 @@
 
     /// Returns the route of an attempt; `None` if it is too late to send it, or if one of its servers no longer accepts
     /// work.
-    fn route(&self, fetch: Fetch, target: AttemptTarget) -> Option<Route> {
-        let in_time = fetch.may_send(self.core.clock.now());
+    fn route(&self, mut fetch: Fetch, target: AttemptTarget) -> Option<Route> {
+        let now = self.core.clock.now();
+        self.limit_age(&mut fetch, now);
+        let in_time = fetch.may_send(now);
         let servers = &self.core.servers;
         let cache = servers.get_accepting(fetch.cache, target.cache);
         let source = match fetch.source == fetch.cache {
@@ -132,10 +139,12 @@
         })
     }
 
-    /// Whether a route that the caller kept may still be used.
-    pub fn is_current(&self, route: &Route) -> bool {
+    /// Brings a route that was kept up to date with the purges since then. False if it must not be used any more.
+    pub fn refresh(&self, route: &mut Route) -> bool {
+        let now = self.core.clock.now();
+        self.limit_age(&mut route.fetch, now);
         let Route { fetch, target, .. } = route;
-        if !fetch.may_send(self.core.clock.now()) {
+        if !fetch.may_send(now) {
             return false;
         }
         let accepts = |cache, incarnation: Option<_>| {
@@ -145,6 +154,12 @@
         source_accepts && accepts(fetch.cache, target.cache)
     }
 
+    /// Purges that were told after the router decided bound the age of the copy, too.
+    fn limit_age(&self, fetch: &mut Fetch, now: Time) {
+        let purges = self.core.event_loop.purges();
+        purges.limit(fetch, now, self.object, self.group);
+    }
+
     /// Records that the caller has the route: from here on, the attempt may execute.
     pub fn mark_sent(&mut self) {
         if let Some(in_flight) = &mut self.in_flight {
--- a/edge/core/src/event_loop.rs
+++ b/edge/core/src/event_loop.rs
@@ -5,10 +5,12 @@
 
 use crate::cancellation::CancelHandle;
 use crate::clock::Clock;
+use crate::event_loop_handle::EventLoopHandle;
 use crate::messages::{AttemptTarget, Command, Directive, DirectiveSink, ProbeSender};
+use crate::purges::RecentPurges;
 use crate::retry_after::Rejected;
 use crate::servers::{Incarnation, Server, ServerList};
-use crossbeam_channel::{bounded, Receiver, RecvTimeoutError, Sender};
+use crossbeam_channel::{bounded, Receiver, RecvTimeoutError};
 use foldmux::interface::*;
 use foldmux::Router;
 use foldmux_load_reports::RouterLoadReports;
@@ -22,18 +24,6 @@
 /// How long the loop waits for a command when no timer is set.
 const IDLE_WAIT: Duration = Duration::from_secs(60);
 
-/// Sends commands to the event loop.
-#[derive(Clone)]
-pub struct EventLoopHandle(Sender<Command>);
-
-impl EventLoopHandle {
-    /// Sends a command; blocks while the channel is full. The loop ends only with the process, so a command to a loop that
-    /// has ended is dropped.
-    pub fn send(&self, command: Command) {
-        let _ = self.0.send(command);
-    }
-}
-
 /// Entry of the table of open requests.
 struct RequestEntry {
     cancel: Arc<CancelHandle>,
@@ -66,6 +56,7 @@
     commands: Receiver<Command>,
     servers: Arc<ServerList>,
     ended_hooks: Vec<EndedHook>,
+    purges: Arc<RecentPurges>,
     requests: HashMap<RequestId, RequestEntry>,
     /// Due time (router time, µs) and token of each timer, the earliest first.
     timers: BinaryHeap<Reverse<(Time, u32)>>,
@@ -84,19 +75,21 @@
         servers: Arc<ServerList>,
     ) -> (EventLoop, EventLoopHandle) {
         let (sender, commands) = bounded(COMMAND_CAPACITY);
+        let purges = Arc::<RecentPurges>::default();
         let event_loop = EventLoop {
             router,
             clock,
             commands,
             servers,
             ended_hooks: Vec::new(),
+            purges: purges.clone(),
             requests: HashMap::new(),
             timers: BinaryHeap::new(),
             actions: Vec::new(),
             load_reports: None,
             shutdown_deadline: None,
         };
-        (event_loop, EventLoopHandle(sender))
+        (event_loop, EventLoopHandle::new(sender, purges))
     }
 
     /// Registers a hook that is called with the former entry of each server whose incarnation no longer accepts work: the
@@ -192,12 +185,17 @@
                 hub_by_zone,
             }),
             Command::Settings(settings) => self.router.retune(*settings),
-            Command::Invalidate { object, group, age } => {
-                self.handle(Event::Purged { object, group, age })
-            }
+            Command::Invalidate { object, group, age } => self.purge(object, group, age),
         }
     }
 
+    /// Records the purge for the attempts that the router has decided on already, and passes it to the router for all others.
+    fn purge(&mut self, object: Option<ObjectId>, group: u32, age: Time) {
+        let (now, retention) = (self.clock.now(), self.router.purge_retention());
+        self.purges.record(now, object, group, age, retention);
+        self.handle(Event::Purged { object, group, age });
+    }
+
     fn open_request(
         &mut self,
         mut request: IncomingRequest,
--- a/edge/core/src/in_flight.rs
+++ b/edge/core/src/in_flight.rs
@@ -1,6 +1,6 @@
 //! An attempt from the router's decision to the report of its outcome.
 
-use crate::event_loop::EventLoopHandle;
+use crate::event_loop_handle::EventLoopHandle;
 use crate::messages::{AttemptTarget, Command};
 use crate::metrics::Metrics;
 use foldmux::interface::*;
--- a/edge/core/src/request_end.rs
+++ b/edge/core/src/request_end.rs
@@ -1,6 +1,6 @@
 //! The end of a request: its result, and the guard that reports it to the event loop.
 
-use crate::event_loop::EventLoopHandle;
+use crate::event_loop_handle::EventLoopHandle;
 use crate::messages::Command;
 use crate::metrics::Completion;
 use crate::reason::Reason;
--- a/edge/core/src/services.rs
+++ b/edge/core/src/services.rs
@@ -3,7 +3,7 @@
 use crate::attempt::UpstreamClient;
 use crate::attempt_history::AttemptHistory;
 use crate::buffers::BufferPool;
-use crate::event_loop::EventLoopHandle;
+use crate::event_loop_handle::EventLoopHandle;
 use crate::limits::Limiter;
 use crate::log_throttle::LogThrottle;
 use crate::metrics::{Completion, Metrics};
--- a/edge/core/tests/common/mod.rs
+++ b/edge/core/tests/common/mod.rs
@@ -206,8 +206,9 @@
         limiter
     }
 
-    pub fn send_request(&self, via_id: u64) -> (Arc<CancelHandle>, Receiver<Reply>) {
-        let request = ClientRequest {
+    /// A request whose id and object have this number.
+    pub fn client_request(&self, via_id: u64) -> ClientRequest {
+        ClientRequest {
             via_id,
             class: Arc::new(0),
             class_name: "sheet".into(),
@@ -223,7 +224,11 @@
             front: "msgpack",
             caller: "".into(),
             required_group: None,
-        };
+        }
+    }
+
+    pub fn send_request(&self, via_id: u64) -> (Arc<CancelHandle>, Receiver<Reply>) {
+        let request = self.client_request(via_id);
         let (replies, reply) = channel();
         let cancel = self.core.new_cancel_handle();
         let responder = Box::new(ReplySender {
--- a/edge/fronts/extproc/src/place.rs
+++ b/edge/fronts/extproc/src/place.rs
@@ -176,11 +176,11 @@
         let until = (arrived + self.patience).min(attempt.delegated.deadline);
         self.allow(&mut attempt, until, ran).await?;
         loop {
-            let mut way = match attempt
-                .way
-                .take()
-                .filter(|way| attempt.delegated.is_current(way))
-            {
+            let kept = attempt.way.take().and_then(|mut way| {
+                let is_current = attempt.delegated.refresh(&mut way);
+                is_current.then_some(way)
+            });
+            let mut way = match kept {
                 Some(way) => way,
                 None => {
                     // A way that was kept and is no more: as one that was never sent, and the module chooses anew.
@@ -227,8 +227,8 @@
                     (self.keeper.sign(&token), good_until)
                 }
             };
-            // The disk took its time, and the list may have changed in it.
-            if !attempt.delegated.is_current(&way) {
+            // The disk took its time: the list may have changed in it, and purges may have been told.
+            if !attempt.delegated.refresh(&mut way) {
                 attempt.delegated.finish_attempt(Outcome::NeverSent, false);
                 attempt.way = Some(self.next(&mut attempt, until, ran).await?);
                 continue;
--- a/edge/proxy/src/admin/maintenance.rs
+++ b/edge/proxy/src/admin/maintenance.rs
@@ -3,9 +3,9 @@
 
 use super::maintenance_file::MaintenanceFile;
 use foldmux::interface::MemberState;
-use foldmux_core::event_loop::EventLoopHandle;
 use foldmux_core::messages::Command;
 use foldmux_core::servers::Server;
+use foldmux_core::EventLoopHandle;
 use foldmux_operations::maintenance::{MaintenanceError, MaintenanceSet};
 use std::collections::HashMap;
 use std::path::PathBuf;
--- a/edge/proxy/src/hierarchy.rs
+++ b/edge/proxy/src/hierarchy.rs
@@ -2,8 +2,8 @@
 //! may use. Without a hierarchy in the file the settings decide, and nothing in this module is started.
 
 use foldmux_core::clock::Clock;
-use foldmux_core::event_loop::EventLoopHandle;
 use foldmux_core::messages::Command;
+use foldmux_core::EventLoopHandle;
 use foldmux_hierarchy::tree::{NodeIndex, NodeKind, Tree};
 use foldmux_hierarchy::versions::{Applied, TopologyVersions};
 use foldmux_operator::Hierarchy;
--- a/edge/proxy/src/journal.rs
+++ b/edge/proxy/src/journal.rs
@@ -10,9 +10,9 @@
 
 use events::{EndpointUpdate, EventDecoder};
 use foldmux_core::clock::Clock;
-use foldmux_core::event_loop::EventLoopHandle;
 use foldmux_core::messages::Command;
 use foldmux_core::servers::Server;
+use foldmux_core::EventLoopHandle;
 use foldmux_event_stream::StreamReaders;
 use foldmux_upstream::pool::Pool;
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/edge/proxy/src/server/running_core.rs
+++ b/edge/proxy/src/server/running_core.rs
@@ -69,6 +69,7 @@
     let upstream = Upstream {
         servers: servers.clone(),
         pool: pool.clone(),
+        purges: handle.purges().clone(),
         clock: clock.clone(),
         dial_timeout: Duration::from_micros(decoded.dial_time_out),
     };
--- a/edge/proxy/tests/common/dns_front.rs
+++ b/edge/proxy/tests/common/dns_front.rs
@@ -6,10 +6,10 @@
 use foldmux::Router;
 use foldmux_core::buffers::BufferPool;
 use foldmux_core::clock::Clock;
-use foldmux_core::event_loop::EventLoopHandle;
 use foldmux_core::limits::Limiter;
 use foldmux_core::messages::Command;
 use foldmux_core::servers::{Server, ServerList};
+use foldmux_core::EventLoopHandle;
 use foldmux_core::{Core, CoreSetup, EventLoop};
 use foldmux_fronts::dns::{server::Bound, Routed};
 use foldmux_operator::script::evaluate;
@@ -70,6 +70,7 @@
     let upstream = Upstream {
         servers: servers.clone(),
         pool,
+        purges: handle.purges().clone(),
         clock: clock.clone(),
         dial_timeout,
     };
--- a/edge/proxy/tests/common/fake_cache.rs
+++ b/edge/proxy/tests/common/fake_cache.rs
@@ -93,6 +93,12 @@
         self.stream.get_mut().write_all(text.as_bytes()).unwrap();
     }
 
+    /// Responds that the request may have run and has failed, and that the connection carries no other.
+    pub fn fail(&mut self) {
+        let text = "HTTP/1.1 500 Error\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+        self.stream.get_mut().write_all(text.as_bytes()).unwrap();
+    }
+
     /// Reads until the proxy closes the connection, and returns all that it wrote.
     pub fn read_to_end(mut self) -> String {
         self.stream
--- a/edge/upstream/src/head.rs
+++ b/edge/upstream/src/head.rs
@@ -1,21 +1,29 @@
 //! The head of a request to a cache, made right before its first byte is written. The platform's header names stand here.
 
 use crate::Upstream;
-use foldmux::interface::bound_ms;
+use foldmux::interface::{bound_ms, Fetch};
 use foldmux_core::attempt::Attempt;
 use foldmux_core::request::ClientRequest;
 use std::fmt::Write as _;
 use std::time::Instant;
 
 impl Upstream {
+    /// The router's decision, with the age of the copy bounded by purges that were told since: the attempt may have waited for
+    /// a backoff, a permit or its connection.
+    fn with_current_purges(&self, attempt: &Attempt) -> Fetch {
+        let mut fetch = attempt.fetch.clone();
+        let ClientRequest { object, group, .. } = *attempt.request;
+        self.purges
+            .limit(&mut fetch, self.clock.now(), object, group);
+        fetch
+    }
+
     /// The request's head, or `None` where it must not be sent any more.
     pub(crate) fn head(&self, attempt: &Attempt, until: Instant) -> Option<String> {
         let Attempt {
-            request,
-            fetch,
-            target,
-            ..
+            request, target, ..
         } = attempt;
+        let fetch = &self.with_current_purges(attempt);
         let cache = target
             .cache
             .filter(|incarnation| self.servers.accepts(fetch.cache, *incarnation))?;
--- a/edge/upstream/src/lib.rs
+++ b/edge/upstream/src/lib.rs
@@ -15,6 +15,7 @@
 use foldmux::interface::{CacheId, Outcome};
 use foldmux_core::attempt::{Attempt, Payload, UpstreamClient};
 use foldmux_core::clock::Clock;
+use foldmux_core::purges::RecentPurges;
 use foldmux_core::servers::{Incarnation, ServerList};
 use foldmux_load_reports::{Fields, Load};
 use pool::Pool;
@@ -27,6 +28,8 @@
     pub servers: Arc<ServerList>,
     /// The connections.
     pub pool: Arc<Pool>,
+    /// The purges, looked up right before a request's first byte.
+    pub purges: Arc<RecentPurges>,
     /// The router's clock.
     pub clock: Clock,
     /// Bounds one dial.
--- a/edge/upstream/tests/attempts.rs
+++ b/edge/upstream/tests/attempts.rs
@@ -59,6 +59,7 @@
     let upstream = Upstream {
         servers: Arc::new(ServerList::default()),
         pool: Pool::new(8, Duration::from_secs(60)),
+        purges: Arc::default(),
         clock: Clock::default(),
         dial_timeout: Duration::from_secs(5),
     };
--- a/edge/upstream/tests/common/mod.rs
+++ b/edge/upstream/tests/common/mod.rs
@@ -51,6 +51,7 @@
         let upstream = Upstream {
             servers: Arc::new(ServerList::default()),
             pool: Pool::new(8, Duration::from_secs(60)),
+            purges: Arc::default(),
             clock: Clock::default(),
             dial_timeout: 2 * PATIENCE,
         };
--- a/hub/src/exchange.rs
+++ b/hub/src/exchange.rs
@@ -77,7 +77,9 @@
             end
         }
     };
-    let Some(head) = head(hub, fill, target, tried) else {
+    // A purge may have been told while the fill waited for its connection, or since another source failed.
+    let born_after = hub.bound(fill.key.object, fill.born_after);
+    let Some(head) = head(hub, fill, target, tried, born_after) else {
         return (End::Off, None);
     };
     if write_all(stream, &[head.as_bytes()], Instant::now() + lease).is_err() {
@@ -106,6 +108,7 @@
         hub,
         fill,
         attempt,
+        born_after,
         hold_only,
         stream,
         &mut buffer,
@@ -131,6 +134,7 @@
     hub: &Hub,
     fill: &Fill,
     attempt: u32,
+    born_after: u64,
     hold_only: bool,
     stream: &TcpStream,
     buffer: &mut [u8],
@@ -159,7 +163,7 @@
     let Some(born_ms) = told.born_ms.filter(|_| length <= PART_MOST) else {
         return (End::Failed, false);
     };
-    if born_ms < fill.born_after {
+    if born_ms < born_after {
         // Guards against a copy from before a purge coming back from a node that was not told of it yet.
         return (End::TooOld, false);
     }
@@ -168,7 +172,7 @@
         born_ms,
         length,
     };
-    let keep = |copy| hub.keep(fill.key, fill.born_after, copy);
+    let keep = |copy| hub.keep(fill.key, born_after, copy);
     let Some(have) = fill.flight.head(attempt, meta, keep) else {
         return (End::Off, false);
     };
@@ -200,7 +204,13 @@
 }
 
 /// The request's head; none where nobody waits any more.
-fn head(hub: &Hub, fill: &Fill, target: &Target, tried: &[Arc<str>]) -> Option<String> {
+fn head(
+    hub: &Hub,
+    fill: &Fill,
+    target: &Target,
+    tried: &[Arc<str>],
+    born_after: u64,
+) -> Option<String> {
     let left = hub.book.left(hub.now(), fill)? / 1_000;
     let mut head = format!("GET {} HTTP/1.1\r\n", fill.path);
     let mut field = |name: &str, value: &dyn std::fmt::Display| {
@@ -211,10 +221,10 @@
         field("Via-Id", &fill.via);
     }
     field("Via-Wait", &left.max(1));
-    if fill.born_after > 0 {
+    if born_after > 0 {
         field(
             "X-Max-Age-Ms",
-            &hub.unix_ms().saturating_sub(fill.born_after).max(1),
+            &hub.unix_ms().saturating_sub(born_after).max(1),
         );
     }
     field(
--- a/src/interface/actions.rs
+++ b/src/interface/actions.rs
@@ -89,6 +89,17 @@
         self.send_before == 0 || now < self.send_before
     }
 
+    /// Also requires that the copy is no older than `max_age`, as a purge was recorded after the router decided; the stricter
+    /// bound applies. A copy from before the purge must not be served while another is fetched.
+    pub fn limit_max_age(&mut self, max_age: Time) {
+        self.max_age = if self.max_age == 0 {
+            max_age
+        } else {
+            max_age.min(self.max_age)
+        };
+        self.revalidate = false;
+    }
+
     /// Also requires that the first byte is sent before `deadline`; the earlier bound applies.
     pub fn limit_send_before(&mut self, deadline: Time) {
         self.send_before = if self.send_before == 0 {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -59,4 +59,4 @@
 pub mod interface;
 pub mod router;
 
-pub use router::Router;
+pub use router::{PurgeLog, Router};
--- a/src/router.rs
+++ b/src/router.rs
@@ -45,7 +45,7 @@
 use housekeeping::HOUSEKEEPING_TOKEN;
 use load::Load;
 use object_table::ObjectTable;
-use purges::PurgeLog;
+pub use purges::PurgeLog;
 use requests::{Attempt, Request};
 use retry_budget::RetryBudget;
 use server::Server;
--- a/src/router/feedback.rs
+++ b/src/router/feedback.rs
@@ -334,7 +334,7 @@
         // A copy that was requested before a purge may be invalid.
         let may_be_invalid = self
             .purges
-            .valid_from(now, attempt.key, attempt.group)
+            .valid_from(now, attempt.key.object(), attempt.group)
             .is_some_and(|valid_from| valid_from > attempt.sent_at);
         let is_stored = observation.is_served() && attempt.is_cacheable;
         if is_stored && is_ready_own_cache && !may_be_invalid {
--- a/src/router/fetch.rs
+++ b/src/router/fetch.rs
@@ -1,11 +1,10 @@
 //! Sending of attempts: the bounds on the copy's age and on the time, the action, and the accounting.
 
+use super::purges::max_age_since;
 use super::requests::{Attempt, Plan, Request};
 use super::Router;
 use crate::interface::{Action, CacheId, Class, Fetch, RequestId, RetrySafety, Tier, Time};
 
-/// Subtracted from the age that a copy may have after a purge (us): purges are delivered in batches of this length.
-const PURGE_AGE_MARGIN_US: Time = 5_000;
 /// Timeout of an attempt, as a multiple of the time left until the latency objective: a later response is worth little,
 /// and the timeout detects a server that accepts attempts but never responds.
 const TIMEOUT_MULTIPLE: Time = 2;
@@ -33,7 +32,9 @@
 
     fn fetch_action(&self, now: Time, id: RequestId, request: &Request, plan: &Plan) -> Fetch {
         let class = &self.settings.classes[request.class];
-        let valid_from = self.purges.valid_from(now, request.key, request.group);
+        let valid_from = self
+            .purges
+            .valid_from(now, request.key.object(), request.group);
         let first_sent = request.first_possibly_processed.map(|first| first.sent_at);
         Fetch {
             id,
@@ -58,8 +59,7 @@
         plan: &Plan,
         valid_from: Option<Time>,
     ) -> Option<Time> {
-        // At least 1, as 0 sets no bound.
-        let since_purge = valid_from.map(|at| now.saturating_sub(at + PURGE_AGE_MARGIN_US).max(1));
+        let since_purge = valid_from.map(|valid_from| max_age_since(now, valid_from));
         // While many fills are in flight, a stale copy is preferred to another fill.
         let accepts_stale = plan.accepts_stale || self.limits.origin.is_busy();
         let lifetime = if accepts_stale {
