Let recorded exchanges pause before they expect a cache's connection to be used again

The scripts served and shutdown read several requests on one connection to the cache, without a pause between a response and the next request. Since the pool waits for 100 ms of quiet (1 s before a write), the next request came on a new connection, and the test failed: "the connection ended within a request". A step `cache idle MS` lets that time pass; what is sent, and that it comes on the same connection, is compared as before.

--- a/edge/proxy/tests/common/mod.rs
+++ b/edge/proxy/tests/common/mod.rs
@@ -5,7 +5,7 @@
 //! - `client NAME > BYTES` sends bytes, on a new connection if the client has none; `client NAME <` reads one message;
 //!   `client NAME end` closes the connection; `client NAME closed` expects the proxy to close it.
 //! - `cache > BYTES` sends a response; `cache <` reads one request; `cache end` closes the connection; `cache closed`
-//!   expects the proxy to close it.
+//!   expects the proxy to close it; `cache idle MS` lets so many milliseconds pass, in which the connection is quiet.
 //! - `journal > EVENTS` answers the next poll; `journal <` reads the poll that follows; `journal closed` expects the proxy
 //!   to close the connection; `journal moves` reloads with another journal address and expects a poll there.
 //! - `reload TEXT` writes a new configuration, sends SIGHUP and shows the log line of the reload.
@@ -242,6 +242,10 @@
                     .unwrap();
                 String::new()
             }
+            ["cache", "idle", time] => {
+                std::thread::sleep(Duration::from_millis(time.parse().unwrap()));
+                String::new()
+            }
             ["cache", "closed"] => read_until_closed(&mut cache.take().unwrap()),
             ["cache", "end"] => {
                 drop(cache.take());
