Let a slow reader keep its connection: bound the stall, not the write; turns by deadline

Other answers never came, on a connection that lived.

Cause: an answer might be written until half a second after its own deadline, by the clock alone, the wait for its turn among it. Where it stood in the middle then, the connection was cut although the client read on; where its turn came later, it was left out without a word. The system held up to 2.6 MB for a connection, and bodies that their client had given up were written all the same.

Turns go by deadline; a body that can't be in time, by the client's pace, is replaced by an error; short messages go first, and no thread waits with them; a call that is given up gives up its turn; the listener's send buffer is 208 KiB. The order is a module of its own without sockets (outbound.rs); the end of a connection in the log counts replaced answers.

--- a/edge/fronts/src/listen.rs
+++ b/edge/fronts/src/listen.rs
@@ -1,6 +1,7 @@
 //! Threads that take connections, each to a thread of its own, within the places that there are.
 
 use crate::closing::{drain, stop_writing, LINGER};
+use crate::msgpack::SEND_BUFFER_SIZE;
 use crate::places::{Place, Places};
 use foldmux_sockets::stream::set_nodelay;
 use foldmux_sockets::verdict::{is_passing_on_spawn, on_accept, OnAccept, OnStream};
@@ -91,6 +92,8 @@
     )?;
     socket.set_reuse_address(true)?;
     socket.set_reuse_port(true)?;
+    // Its connections inherit it. Without it they work all the same.
+    let _ = socket.set_send_buffer_size(SEND_BUFFER_SIZE);
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
     socket.set_read_timeout(Some(LOOK_EVERY))?;
--- a/edge/fronts/src/msgpack/connection.rs
+++ b/edge/fronts/src/msgpack/connection.rs
@@ -1,18 +1,15 @@
-//! One client's connection: the calls that are open on it, and whose turn it is to write.
+//! One client's connection: the calls that are open on it, and its end.
 
 use super::end::EndReason;
+use super::outbound::Outbound;
 use crate::closing::{cut, discard, Discard};
 use crate::places::Place;
 use foldmux_core::cancellation::CancelHandle;
-use foldmux_sockets::stream::{self, Stop};
 use std::collections::HashMap;
 use std::net::TcpStream;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
-
-/// Longest that a write waits where its time is over already: what the socket takes at once still goes.
-const LAST_WRITE: Duration = Duration::from_millis(20);
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::Instant;
 
 /// A call that is open on a connection.
 pub(super) struct OpenCall {
@@ -25,31 +22,25 @@
     pub place: Place,
     /// The calls that are open, by their numbers.
     calls: Mutex<HashMap<u32, OpenCall>>,
-    /// Somebody writes a message.
-    writing: Mutex<bool>,
-    written: Condvar,
+    pub(super) outbound: Outbound,
+    /// When the process must go; set once it begins to leave.
+    leave_by: Arc<OnceLock<Instant>>,
+    /// Bodies that could not be in time, in whose place an error was sent.
+    replaced: AtomicUsize,
     /// A message could not be written whole: the client can read nothing more.
     broken: AtomicBool,
     /// Why it could not, where that is so; taken by whoever tells of the connection's end.
     write_failure: Mutex<Option<EndReason>>,
 }
 
-/// Until when a message may wait for its turn, and take to be written.
-#[derive(Clone, Copy)]
-pub(super) enum Patience {
-    /// An answer: past this moment nobody waits for it.
-    Until(Instant),
-    /// A word of the reader's own: it waits for those who write, then has so long.
-    Behind(Duration),
-}
-
 impl Connection {
-    pub fn new(place: Place) -> Connection {
+    pub fn new(place: Place, leave_by: Arc<OnceLock<Instant>>) -> Connection {
         Connection {
             place,
             calls: Mutex::default(),
-            writing: Mutex::default(),
-            written: Condvar::new(),
+            outbound: Outbound::default(),
+            leave_by,
+            replaced: AtomicUsize::new(0),
             broken: AtomicBool::new(false),
             write_failure: Mutex::default(),
         }
@@ -79,8 +70,36 @@
         self.calls().remove(&id).map(|call| call.cancel)
     }
 
+    /// As [`Connection::close`], for a call that its client has given up: its body waits for its turn no longer.
+    pub fn give_up(&self, id: u32) -> Option<Arc<CancelHandle>> {
+        let closed = self.close(id);
+        self.outbound.wake();
+        closed
+    }
+
+    pub fn is_open(&self, id: u32) -> bool {
+        self.calls().contains_key(&id)
+    }
+
     pub fn close_all(&self) -> Vec<OpenCall> {
-        self.calls().drain().map(|(_, call)| call).collect()
+        let closed = self.calls().drain().map(|(_, call)| call).collect();
+        self.outbound.wake();
+        closed
+    }
+
+    /// When an answer must be with its client: at the call's deadline, or sooner where the process must go.
+    pub fn latest(&self, deadline: Instant) -> Instant {
+        let leave_by = self.leave_by.get();
+        leave_by.map_or(deadline, |leave_by| deadline.min(*leave_by))
+    }
+
+    pub fn count_replaced(&self) {
+        self.replaced.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// How many bodies an error was sent in place of.
+    pub fn replaced(&self) -> usize {
+        self.replaced.load(Ordering::Relaxed)
     }
 
     /// Why a message could not be written whole, told once.
@@ -92,7 +111,7 @@
     }
 
     /// A message could not be written whole: the connection ends.
-    fn fail(&self, reason: EndReason) {
+    pub(super) fn fail(&self, reason: EndReason) {
         self.write_failure
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
@@ -118,67 +137,6 @@
     pub fn cut(&self) {
         self.broken.store(true, Ordering::SeqCst);
         cut(self.stream());
-    }
-
-    /// Writes one whole message. A client that does not take it in time loses its connection: the rest of a cut
-    /// message would be read as something else. One whose turn does not come in time is left out.
-    pub fn write(&self, message: &[u8], patience: Patience) {
-        let Some(_turn) = self.turn(patience) else {
-            return;
-        };
-        let until = match patience {
-            Patience::Until(until) => until,
-            Patience::Behind(time) => Instant::now() + time,
-        };
-        let mut left = message;
-        while !left.is_empty() && !self.is_broken() {
-            match stream::write(self.stream(), left, until.max(Instant::now() + LAST_WRITE)) {
-                Ok(count) => left = &left[count..],
-                // Not for the client's sake, and the client can read on: what else is open on the connection is not lost for
-                // an answer that comes too late.
-                Err(Stop::Failing(_)) if left.len() == message.len() => return,
-                Err(Stop::TimedOut) => self.fail(EndReason::NotTaken),
-                Err(Stop::Over(error) | Stop::Failing(error)) => {
-                    self.fail(EndReason::WriteFailed(error))
-                }
-            }
-        }
-    }
-
-    /// The turn to write. Guards against a client that reads nothing holding each thread that has an answer for it for the
-    /// sum of all waits: none waits beyond its own answer's time.
-    fn turn(&self, patience: Patience) -> Option<Turn<'_>> {
-        let mut writing = self.writing.lock().unwrap_or_else(PoisonError::into_inner);
-        while *writing {
-            writing = match patience {
-                Patience::Behind(_) => self
-                    .written
-                    .wait(writing)
-                    .unwrap_or_else(PoisonError::into_inner),
-                Patience::Until(until) => {
-                    let left = until.checked_duration_since(Instant::now())?;
-                    self.written
-                        .wait_timeout(writing, left)
-                        .unwrap_or_else(PoisonError::into_inner)
-                        .0
-                }
-            };
-        }
-        *writing = true;
-        Some(Turn(self))
-    }
-}
-
-/// The turn to write on a connection, until it is dropped.
-struct Turn<'a>(&'a Connection);
-
-impl Drop for Turn<'_> {
-    fn drop(&mut self) {
-        *self
-            .0
-            .writing
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner) = false;
-        self.0.written.notify_one();
+        self.outbound.wake();
     }
 }
--- a/edge/fronts/src/msgpack/end.rs
+++ b/edge/fronts/src/msgpack/end.rs
@@ -44,24 +44,52 @@
     }
 }
 
-/// Tells of an end: a line at the level INFO where requests were given up with it, and at DEBUG where none was.
-pub(super) fn tell(
-    lines: &LogThrottle,
-    client: Option<SocketAddr>,
-    number: u64,
-    reason: &EndReason,
-    given_up: &[u64],
-) {
-    let client = client.map_or_else(
-        || "a client that has gone".to_string(),
-        |address| address.to_string(),
-    );
-    if given_up.is_empty() {
-        tracing::debug!("connection {number} of {client}: {reason}");
-        return;
+/// The end of a client's connection.
+pub(super) struct End {
+    pub client: Option<SocketAddr>,
+    /// The connection's number.
+    pub number: u64,
+    pub reason: EndReason,
+    /// The clients' ids of the requests that were open on it.
+    pub given_up: Vec<u64>,
+    /// Answers in whose place an error was sent, as the client read too slowly for them to be in time.
+    pub replaced: usize,
+}
+
+impl End {
+    /// Tells of it: a line at the level INFO where requests were given up with it or answers replaced, else at DEBUG.
+    pub fn tell(&self, lines: &LogThrottle) {
+        let End {
+            number,
+            reason,
+            given_up,
+            replaced,
+            ..
+        } = self;
+        let client = self.client.map_or_else(
+            || "a client that has gone".to_string(),
+            |address| address.to_string(),
+        );
+        if given_up.is_empty() && *replaced == 0 {
+            tracing::debug!("connection {number} of {client}: {reason}");
+            return;
+        }
+        if !lines.admits(Instant::now()) {
+            return;
+        }
+        let replaced = match replaced {
+            0 => String::new(),
+            count => format!("; {count} answers could not be in time and were replaced by errors"),
+        };
+        let given_up = list(given_up);
+        tracing::info!("connection {number} of {client}: {reason}{given_up}{replaced}");
     }
-    if !lines.admits(Instant::now()) {
-        return;
+}
+
+/// The requests that were given up, as a line names them.
+fn list(given_up: &[u64]) -> String {
+    if given_up.is_empty() {
+        return String::new();
     }
     let named: Vec<String> = given_up
         .iter()
@@ -70,5 +98,5 @@
         .collect();
     let more = given_up.len().saturating_sub(NAMED);
     let named = named.join(", ");
-    tracing::info!("connection {number} of {client}: {reason}; given up: {named} and {more} more");
+    format!("; given up: {named} and {more} more")
 }
--- a/edge/fronts/src/msgpack/mod.rs
+++ b/edge/fronts/src/msgpack/mod.rs
@@ -4,8 +4,8 @@
 use crate::places::Place;
 use answering::Answering;
 use codec::{Asked, Call, Heard, Unread};
-use connection::{Connection, OpenCall, Patience};
-use end::EndReason;
+use connection::{Connection, OpenCall};
+use end::{End, EndReason};
 use foldmux::interface::Time;
 use foldmux_core::log_throttle::LogThrottle;
 use foldmux_core::metrics::Completion;
@@ -22,15 +22,15 @@
 pub mod codec;
 mod connection;
 mod end;
+mod outbound;
 mod patient;
+mod sending;
 
 /// Open requests that one connection carries.
 const OPEN: usize = 32;
-/// How long a client may leave an answer unread beyond its own deadline before its connection is closed.
-const SLOW: Duration = Duration::from_millis(500);
-/// How long a refusal or an error of the front's own may take to be written before its connection is closed, and with it what
-/// else is open there: as long as a client may wait for the others, by the platform's count of the longest deadline.
-const OWN_WORDS: Duration = Duration::from_secs(3);
+/// Bytes that the system may hold for a client's connection: about one of the longest answers. More would only keep short
+/// answers waiting behind what a slow client has not read.
+pub const SEND_BUFFER_SIZE: usize = 208 * 1024;
 /// Leaving, a request with less time than this before the process must go is refused rather than begun (us).
 const LEAST_LEFT: Time = 50_000;
 /// Bytes read from a connection at once.
@@ -84,7 +84,7 @@
     /// Serves one connection until it ends; called on a thread of its own.
     pub fn serve(&self, place: Place) {
         let number = self.connections.fetch_add(1, Ordering::Relaxed);
-        let connection = Arc::new(Connection::new(place));
+        let connection = Arc::new(Connection::new(place, self.leave_by.clone()));
         let client = connection.stream().peer_addr().ok();
         let stopped = self.read(&connection);
         // Also where our side has ended already: then the client has a while to close.
@@ -100,7 +100,14 @@
         let given_up: Vec<u64> = given_up.iter().map(|call| call.request).collect();
         let (Stopped::Gone(reason) | Stopped::Unreadable(reason)) = stopped;
         let reason = connection.take_write_failure().unwrap_or(reason);
-        end::tell(&self.end_lines, client, number, &reason, &given_up);
+        let end = End {
+            client,
+            number,
+            reason,
+            given_up,
+            replaced: connection.replaced(),
+        };
+        end.tell(&self.end_lines);
     }
 
     /// Reads messages and deals with each, until no more are taken.
@@ -151,7 +158,7 @@
     }
 
     fn forget(&self, connection: &Connection, ids: Vec<u32>) {
-        for cancel in ids.into_iter().filter_map(|id| connection.close(id)) {
+        for cancel in ids.into_iter().filter_map(|id| connection.give_up(id)) {
             self.core.client_gone(&cancel);
             connection.place.done();
         }
@@ -161,24 +168,20 @@
         self.core
             .metrics
             .record_completion(None, Completion::Malformed);
-        connection.write(
-            &codec::error(id, "Fault", Some(("why", why))),
-            Patience::Behind(OWN_WORDS),
-        );
+        connection.tell(codec::error(id, "Fault", Some(("why", why))));
     }
 
     /// A number that does not count up. Guards against two answers under one number, and against a client that
     /// can't tell which request an answer is for: the one that is open under it is given up, and answered so.
     fn misnumbered(&self, connection: &Connection, number: u32) {
-        if let Some(cancel) = connection.close(number) {
+        if let Some(cancel) = connection.give_up(number) {
             self.core.client_gone(&cancel);
             let error = codec::error(
                 number,
                 "Fault",
                 Some(("why", "two requests under one number")),
             );
-            connection.write(&error, Patience::Behind(OWN_WORDS));
-            connection.place.done();
+            connection.send_short(error);
         }
         connection.place.end_when_idle();
     }
@@ -187,7 +190,7 @@
         let id = call.id;
         if call.method == "isWell" {
             let well = self.listed.load(Ordering::SeqCst) && self.leave_by.get().is_none();
-            return connection.write(&codec::well(id, well), Patience::Behind(OWN_WORDS));
+            return connection.tell(codec::well(id, well));
         }
         let classes = self.classes();
         let Some(taken) = classes.iter().find(|c| *c.name == *call.method) else {
@@ -261,10 +264,7 @@
         self.core
             .metrics
             .record_completion(taken.map(|taken| &taken.name), Completion::Shed(reason));
-        connection.write(
-            &codec::shed(id, self.core.retry_after()),
-            Patience::Behind(OWN_WORDS),
-        );
+        connection.tell(codec::shed(id, self.core.retry_after()));
     }
 }
 
