--- a/edge/upstream/tests/answers.rs
+++ b/edge/upstream/tests/answers.rs
@@ -120,7 +120,8 @@
     });
     assert_eq!((outcome, brought), (Outcome::Served, body("first")));
     assert_eq!(rig.upstream.pool.count(), (0, 0));
-    // It comes while the connection is idle.
+    // It comes while the connection is idle, at a server that has sent none before: one that has gets no second request there.
+    let rig = Rig::new();
     let idle: TcpStream = rig.idle();
     arrive(&idle, &ok("second"));
     let (outcome, brought, _) = rig.during(&rig.asked(), || {
