--- a/review/rig-2/rig2.py
+++ b/review/rig-2/rig2.py
@@ -351,7 +351,10 @@
                     waiting.set_result(("lost", None))
 
     async def ask(self, method, fields, body=b"", wait_ms=None):
-        """The answer as (word, body or fields): word is served, same, shed, failed, late or lost."""
+        """The answer as (word, body or fields): word is served, same, shed, failed, late or lost; closed where the connection had
+        ended before: then nothing is sent."""
+        if self.task.done() or self.reader.at_eof():
+            return "closed", None
         number, self.next = self.next, self.next + 1
         waiting = self.open[number] = asyncio.get_event_loop().create_future()
         parameters = [fields, body] if method != "isWell" else [fields]
