--- a/review/7/case.py
+++ b/review/7/case.py
@@ -56,8 +56,13 @@
         if server.kind == "small-box":
             server.answer = paced
 
+    async def end(one, asked):
+        for word, _, _ in await asyncio.gather(*asked):
+            words[word] = words.get(word, 0) + 1
+        one.close()
+
     async def client(number):
-        turn = number
+        turn, ending = number, []
         while going[0]:
             try:
                 one = await Client(rig).connect(old.listen)
@@ -71,9 +76,8 @@
                     asked.append(asyncio.ensure_future(rig.ask(one, "mix-video", names[turn % len(names)], wait_ms=5000,
                                                                size_kb=1700.0)))
                 await asyncio.sleep(CLIENTS / PER_SECOND)
-            for word, _, _ in await asyncio.gather(*asked):
-                words[word] = words.get(word, 0) + 1
-            one.close()
+            ending.append(asyncio.ensure_future(end(one, asked)))
+        await asyncio.gather(*ending)
 
     peak = [0, []]
 
@@ -114,6 +118,7 @@
     if not proxies[-1].running():
         raise RuntimeError("the edge proxy has ended")
     limit = MEMORY_MB * 1024
+    rig.record.note("answers", **words)
     return peak[0] <= limit, ("private memory at most %d kB of %d kB (%s; %d before the second process); answers %s"
                               % (peak[0], limit, " + ".join(map(str, peak[1])), alone, words))
 
